Meta: Start the tree with decisions, wire codec and stand-ins

Cause: an empty repository. Adds the pure decisions (quorum rules, failover machine, read policy, admission queue), the PostgreSQL v3 codec, checked YAML settings, and the stand-in database, platform and fault proxy.

--- /dev/null
+++ b/Libraries/LibDecision/AdmissionQueue.cpp
@@ -0,0 +1,77 @@
+#include "LibDecision/AdmissionQueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaline {
+
+Admission
+AdmissionQueue::Offer(const QueuedRequest& aRequest, Instant aNow)
+{
+  if (aNow + ExpectedWait(aRequest.mRank) > aRequest.mDeadline) {
+    return Admission::DeadlineTooClose;
+  }
+  if (mQueue.size() >= mCapacity) {
+    const auto last = std::prev(mQueue.end());
+    if (last->second.mRank <= aRequest.mRank) {
+      return Admission::QueueFull;
+    }
+    mEvicted.push_back(last->second.mId);
+    mQueue.erase(last);
+  }
+  mQueue.emplace(Key{ aRequest.mRank, mNextArrival++ }, aRequest);
+  return Admission::Admitted;
+}
+
+std::optional<QueuedRequest>
+AdmissionQueue::Front() const
+{
+  return mQueue.empty() ? std::nullopt
+                        : std::optional(mQueue.begin()->second);
+}
+
+void
+AdmissionQueue::Remove(uint64_t aId)
+{
+  std::erase_if(mQueue,
+                [aId](const auto& it) { return it.second.mId == aId; });
+}
+
+std::vector<uint64_t>
+AdmissionQueue::TakeExpired(Instant aNow)
+{
+  std::vector<uint64_t> expired;
+  std::erase_if(mQueue, [&](const auto& it) {
+    if (it.second.mDeadline > aNow) {
+      return false;
+    }
+    expired.push_back(it.second.mId);
+    return true;
+  });
+  return expired;
+}
+
+std::vector<uint64_t>
+AdmissionQueue::TakeEvicted()
+{
+  return std::exchange(mEvicted, {});
+}
+
+void
+AdmissionQueue::ObserveService(Duration aService)
+{
+  constexpr int kWeight = 16;
+  mMeanService = mMeanService == Duration{}
+                   ? aService
+                   : mMeanService + (aService - mMeanService) / kWeight;
+}
+
+Duration
+AdmissionQueue::ExpectedWait(unsigned aRank) const
+{
+  const auto ahead = std::ranges::count_if(
+    mQueue, [&](const auto& it) { return it.second.mRank <= aRank; });
+  return mMeanService * ahead / std::max(mServers, 1U);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace papayaline {
+
+/// How many connections one instance may hold to one database.
+struct ConnectionShare
+{
+  unsigned mStatus = 1;
+  unsigned mWork = 1;
+
+  bool operator==(const ConnectionShare&) const = default;
+};
+
+/// Divides a database's connection limit among the instances that are home to
+/// its group. One connection is kept for status and control; the reserve
+/// covers a replacement that overlaps its predecessor. Pure; any thread.
+/// Precondition: aInstances > 0.
+ConnectionShare
+DivideConnections(unsigned aLimit, unsigned aReserve, unsigned aInstances);
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/FailoverMachine.cpp
@@ -0,0 +1,536 @@
+#include "LibDecision/FailoverMachine.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace papayaline {
+
+namespace {
+
+template<typename... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+const char*
+CauseName(FailoverCause aCause)
+{
+  switch (aCause) {
+    case FailoverCause::None:
+      return "none";
+    case FailoverCause::NoPrimary:
+      return "no primary";
+    case FailoverCause::PrimaryUnreachable:
+      return "primary unreachable";
+    case FailoverCause::PrimarySilent:
+      return "primary silent";
+    case FailoverCause::ReplicationStalled:
+      return "replication stalled";
+    case FailoverCause::SplitTerms:
+      return "split terms";
+    case FailoverCause::Switchover:
+      return "switchover";
+  }
+  return "none";
+}
+
+}
+
+FailoverMachine::FailoverMachine(FailoverIdentity aIdentity,
+                                 FailoverSettings aSettings)
+  : mIdentity(std::move(aIdentity))
+  , mSettings(aSettings)
+  , mBackoff(aSettings.mInitialBackoff)
+{
+}
+
+FailoverActions
+FailoverMachine::Handle(const FailoverEvent& aEvent, Instant aNow)
+{
+  if (!mStartedAt) {
+    mStartedAt = aNow;
+  }
+  std::visit(
+    Overloaded{
+      [&](const Tick&) { OnTick(aNow); },
+      [&](const UpstreamReported& aIt) { OnReport(aIt.mReport, aNow); },
+      [&](const UpstreamFailed& aIt) {
+        auto& seen = mObservations[aIt.mUpstream];
+        seen.mFailingSince = seen.mFailingSince.value_or(aNow);
+      },
+      [&](const PeerViewReceived& aIt) {
+        const bool isCurrent = aIt.mView.mTerm >= mHighestTerm;
+        ++(aIt.mView.mIsHealthy && isCurrent ? mHealthyViews
+                                             : mUnhealthyViews);
+      },
+      [&](const CommandAnswered& aIt) { OnCommandAnswered(aIt, aNow); },
+      [&](const SwitchoverRequested&) { mSwitchoverWanted = true; } },
+    aEvent);
+  return std::exchange(mActions, {});
+}
+
+void
+FailoverMachine::SetIdentity(const FailoverIdentity& aIdentity)
+{
+  if (aIdentity.mHolderIndex != mIdentity.mHolderIndex) {
+    mPhase = Phase::Watching;
+    mSuspectedAt.reset();
+  }
+  mIdentity = aIdentity;
+  std::erase_if(mObservations, [&](const auto& it) {
+    return std::ranges::find(mIdentity.mUpstreams, it.first) ==
+           mIdentity.mUpstreams.end();
+  });
+}
+
+void
+FailoverMachine::OnReport(const UpstreamReport& aReport, Instant aNow)
+{
+  auto& seen = mObservations[aReport.mUpstream];
+  if (seen.mReport && seen.mReport->mAskedAt > aReport.mAskedAt) {
+    return;
+  }
+  seen.mReport = aReport;
+  seen.mHeardAt = aNow;
+  seen.mFailingSince.reset();
+  mHighestTerm = std::max(mHighestTerm, aReport.mFencedTerm);
+  TrackProgress(aNow);
+}
+
+std::vector<UpstreamReport>
+FailoverMachine::Reports() const
+{
+  std::vector<UpstreamReport> reports;
+  for (const auto& it : mObservations | std::views::values) {
+    if (it.mReport) {
+      reports.push_back(*it.mReport);
+    }
+  }
+  return reports;
+}
+
+std::optional<UpstreamReport>
+FailoverMachine::KnownPrimary() const
+{
+  const auto reports = Reports();
+  const auto* primary = FindPrimary(reports);
+  return primary ? std::optional(*primary) : std::nullopt;
+}
+
+/// Replication is stalled while the primary is ahead of all replicas and none
+/// of them moves.
+void
+FailoverMachine::TrackProgress(Instant aNow)
+{
+  const auto primary = KnownPrimary();
+  if (!primary) {
+    mStalledSince.reset();
+    return;
+  }
+  LogPosition best;
+  for (const auto& it : Reports()) {
+    if (it.mUpstream != primary->mUpstream &&
+        it.mFencedTerm == primary->mFencedTerm) {
+      best = std::max(best, it.mLast);
+    }
+  }
+  const bool isBehind = primary->mLast > best;
+  if (!isBehind || best != mBestReplica) {
+    mStalledSince.reset();
+  }
+  if (isBehind && !mStalledSince) {
+    mStalledSince = aNow;
+  }
+  mBestReplica = best;
+}
+
+FailoverCause
+FailoverMachine::Suspicion(Instant aNow) const
+{
+  const auto primary = KnownPrimary();
+  if (!primary) {
+    const bool waited =
+      aNow - mStartedAt.value_or(aNow) >= mSettings.mSilenceTimeout;
+    return waited ? FailoverCause::NoPrimary : FailoverCause::None;
+  }
+  const auto& seen = mObservations.at(primary->mUpstream);
+  if (seen.mFailingSince &&
+      aNow - *seen.mFailingSince >= mSettings.mUnreachableTimeout) {
+    return FailoverCause::PrimaryUnreachable;
+  }
+  if (aNow - seen.mHeardAt >= mSettings.mSilenceTimeout) {
+    return FailoverCause::PrimarySilent;
+  }
+  const bool isSplit = std::ranges::any_of(
+    Reports(),
+    [&](const auto& it) { return it.mFencedTerm > primary->mFencedTerm; });
+  if (isSplit) {
+    return FailoverCause::SplitTerms;
+  }
+  if (mStalledSince && aNow - *mStalledSince >= mSettings.mStallTimeout) {
+    return FailoverCause::ReplicationStalled;
+  }
+  const bool isLeaving = mIdentity.mLeaving.contains(primary->mUpstream);
+  if (mSwitchoverWanted || isLeaving) {
+    return FailoverCause::Switchover;
+  }
+  return FailoverCause::None;
+}
+
+PrimaryView
+FailoverMachine::View(Instant aNow) const
+{
+  const auto primary = KnownPrimary();
+  if (!primary) {
+    return {};
+  }
+  const auto cause = Suspicion(aNow);
+  const bool isHealthy =
+    cause == FailoverCause::None || cause == FailoverCause::Switchover;
+  return { primary->mFencedTerm, primary->mUpstream, isHealthy };
+}
+
+void
+FailoverMachine::OnTick(Instant aNow)
+{
+  switch (mPhase) {
+    case Phase::Watching:
+      Watch(aNow);
+      return;
+    case Phase::AskingViews:
+      JudgeViews(aNow);
+      return;
+    case Phase::Quiescing:
+      CheckQuiesce(aNow);
+      return;
+    case Phase::Fencing:
+      CheckFenced(aNow);
+      return;
+    case Phase::Promoting:
+      if (aNow >= mStepDeadline) {
+        BackOff(aNow, "promotion timed out");
+      } else {
+        Resend(aNow);
+      }
+      return;
+  }
+}
+
+void
+FailoverMachine::Watch(Instant aNow)
+{
+  const auto cause = Suspicion(aNow);
+  if (cause == FailoverCause::None) {
+    mSuspectedAt.reset();
+  } else if (!mSuspectedAt || cause != mCause) {
+    mSuspectedAt = mSuspectedAt.value_or(aNow);
+    Note("suspect", CauseName(cause));
+  }
+  mCause = cause;
+  if (!mIdentity.mHolderIndex) {
+    return;
+  }
+  Repair(aNow);
+  if (!mSuspectedAt || aNow < mBackoffUntil) {
+    return;
+  }
+  // Another holder's attempt shows as a term without a primary; it gets the
+  // time to finish before this one starts a higher term.
+  const Duration patience =
+    cause == FailoverCause::SplitTerms ? mSettings.mTakeoverTimeout
+                                       : Duration{};
+  const auto rank = static_cast<int>(*mIdentity.mHolderIndex);
+  if (aNow - *mSuspectedAt < patience + mSettings.mRankDelay * rank) {
+    return;
+  }
+  if (cause == FailoverCause::Switchover) {
+    StartQuiesce(aNow);
+  } else {
+    AskViews(aNow);
+  }
+}
+
+void
+FailoverMachine::Repair(Instant aNow)
+{
+  const auto primary = KnownPrimary();
+  if (!primary || primary->mFencedTerm < mHighestTerm) {
+    return;
+  }
+  for (const auto& it : mIdentity.mUpstreams) {
+    RepairUpstream(it, *primary, aNow);
+  }
+}
+
+void
+FailoverMachine::RepairUpstream(const std::string& aUpstream,
+                                const UpstreamReport& aPrimary,
+                                Instant aNow)
+{
+  const auto found = mObservations.find(aUpstream);
+  if (aUpstream == aPrimary.mUpstream || found == mObservations.end() ||
+      !found->second.mReport || found->second.mFailingSince) {
+    return;
+  }
+  auto& seen = found->second;
+  if (aNow - seen.mLastRepair < mSettings.mResendInterval) {
+    return;
+  }
+  const auto& report = *seen.mReport;
+  if (report.mFencedTerm < aPrimary.mFencedTerm) {
+    seen.mLastRepair = aNow;
+    Emit(SendCommand{ aUpstream,
+                      CommandKind::Fence,
+                      aPrimary.mFencedTerm,
+                      aPrimary.mAttempt,
+                      {} });
+  } else if (report.mAttempt == aPrimary.mAttempt &&
+             report.mFollows != aPrimary.mUpstream) {
+    seen.mLastRepair = aNow;
+    Emit(SendCommand{ aUpstream,
+                      CommandKind::Follow,
+                      aPrimary.mFencedTerm,
+                      aPrimary.mAttempt,
+                      aPrimary.mUpstream });
+  }
+}
+
+void
+FailoverMachine::AskViews(Instant aNow)
+{
+  mPhase = Phase::AskingViews;
+  mHealthyViews = 0;
+  mUnhealthyViews = 0;
+  mStepDeadline = aNow + mSettings.mViewTimeout;
+  Note("ask-views", CauseName(mCause));
+  Emit(AskPeerViews{});
+}
+
+void
+FailoverMachine::JudgeViews(Instant aNow)
+{
+  // The answers arrive while this instance asks; it may have heard the primary
+  // again itself.
+  if (Suspicion(aNow) == FailoverCause::None) {
+    mPhase = Phase::Watching;
+    return;
+  }
+  const bool allAnswered =
+    mHealthyViews + mUnhealthyViews >= mIdentity.mPeerCount;
+  if (!allAnswered && aNow < mStepDeadline) {
+    return;
+  }
+  if (mHealthyViews > mUnhealthyViews) {
+    BackOff(aNow, "peers see a healthy primary");
+    return;
+  }
+  mIsPlanned = false;
+  StartFencing(aNow);
+}
+
+void
+FailoverMachine::StartQuiesce(Instant aNow)
+{
+  const auto primary = KnownPrimary();
+  mOldPrimary = primary->mUpstream;
+  mTerm = primary->mFencedTerm;
+  mAttempt = primary->mAttempt;
+  mPhase = Phase::Quiescing;
+  mStepDeadline = aNow + mSettings.mSwitchoverTimeout;
+  mLastSend = aNow;
+  Note("quiesce", mOldPrimary);
+  Emit(SendCommand{
+    mOldPrimary, CommandKind::Quiesce, mTerm, mAttempt, {} });
+}
+
+void
+FailoverMachine::CheckQuiesce(Instant aNow)
+{
+  const auto primary = KnownPrimary();
+  if (aNow >= mStepDeadline || !primary ||
+      primary->mUpstream != mOldPrimary) {
+    mSwitchoverWanted = false;
+    BackOff(aNow, "switchover not ready in time");
+    return;
+  }
+  const auto caughtUp = [&](const UpstreamReport& aReport) {
+    return aReport.mUpstream != mOldPrimary &&
+           PrefersTarget(aReport.mUpstream) &&
+           aReport.mFencedTerm == primary->mFencedTerm &&
+           aReport.mLast == primary->mLast;
+  };
+  if (primary->mQuiesced && primary->mOpenWrites == 0 &&
+      std::ranges::any_of(Reports(), caughtUp)) {
+    mIsPlanned = true;
+    StartFencing(aNow);
+  }
+}
+
+uint64_t
+FailoverMachine::NextTerm() const
+{
+  const uint64_t residue = *mIdentity.mHolderIndex;
+  uint64_t term = mHighestTerm + 1;
+  while (term % mIdentity.mHolderCount != residue) {
+    ++term;
+  }
+  return term;
+}
+
+void
+FailoverMachine::StartFencing(Instant aNow)
+{
+  if (!mIsPlanned) {
+    const auto primary = KnownPrimary();
+    mOldPrimary = primary ? primary->mUpstream : std::string();
+  }
+  mPhase = Phase::Fencing;
+  mTerm = NextTerm();
+  mHighestTerm = mTerm;
+  mAttempt = mIdentity.mInstance + "/" + mIdentity.mIncarnation + "/" +
+             std::to_string(++mAttemptCount);
+  mGrants.clear();
+  mMajorityAt.reset();
+  mStepDeadline = aNow + mSettings.mStepTimeout;
+  mLastSend = aNow;
+  Note("fence", CauseName(mCause));
+  for (const auto& it : mIdentity.mUpstreams) {
+    Emit(SendCommand{ it, CommandKind::Fence, mTerm, mAttempt, {} });
+  }
+}
+
+void
+FailoverMachine::Resend(Instant aNow)
+{
+  if (aNow - mLastSend < mSettings.mResendInterval) {
+    return;
+  }
+  mLastSend = aNow;
+  if (mPhase == Phase::Promoting) {
+    Emit(SendCommand{ mTarget, CommandKind::Promote, mTerm, mAttempt, {} });
+    return;
+  }
+  for (const auto& it : mIdentity.mUpstreams) {
+    if (!mGrants.contains(it)) {
+      Emit(SendCommand{ it, CommandKind::Fence, mTerm, mAttempt, {} });
+    }
+  }
+}
+
+void
+FailoverMachine::CheckFenced(Instant aNow)
+{
+  const size_t size = mIdentity.mUpstreams.size();
+  const size_t needed =
+    mSettings.mRules.Has(Rule::MajorityToPromote) ? MajorityOf(size) : 1;
+  if (mGrants.size() >= needed) {
+    mMajorityAt = mMajorityAt.value_or(aNow);
+    if (mGrants.size() == size ||
+        aNow - *mMajorityAt >= mSettings.mFenceGrace) {
+      StartPromotion(aNow);
+    }
+    return;
+  }
+  if (aNow >= mStepDeadline) {
+    BackOff(aNow, "no majority fenced");
+    return;
+  }
+  Resend(aNow);
+}
+
+bool
+FailoverMachine::PrefersTarget(const std::string& aUpstream) const
+{
+  const bool isReplaced = mIsPlanned && aUpstream == mOldPrimary;
+  return !isReplaced && !mIdentity.mLeaving.contains(aUpstream);
+}
+
+void
+FailoverMachine::StartPromotion(Instant aNow)
+{
+  const auto isBetter = [&](const auto& aLeft, const auto& aRight) {
+    if (mSettings.mRules.Has(Rule::MostAdvancedLog) &&
+        aLeft.second.mLast != aRight.second.mLast) {
+      return aLeft.second.mLast < aRight.second.mLast;
+    }
+    return PrefersTarget(aLeft.first) < PrefersTarget(aRight.first);
+  };
+  mTarget = std::ranges::max_element(mGrants, isBetter)->first;
+  mPhase = Phase::Promoting;
+  mStepDeadline = aNow + mSettings.mStepTimeout;
+  mLastSend = aNow;
+  Note("promote", mTarget);
+  Emit(SendCommand{ mTarget, CommandKind::Promote, mTerm, mAttempt, {} });
+}
+
+void
+FailoverMachine::FinishPromotion(const UpstreamReport& aReport, Instant aNow)
+{
+  Note("promoted", mTarget);
+  OnReport(aReport, aNow);
+  Emit(PublishPrimary{ mTerm, mTarget });
+  for (const auto& it : mGrants | std::views::keys) {
+    if (it != mTarget) {
+      mObservations[it].mLastRepair = aNow;
+      Emit(
+        SendCommand{ it, CommandKind::Follow, mTerm, mAttempt, mTarget });
+    }
+  }
+  mPhase = Phase::Watching;
+  mSuspectedAt.reset();
+  mStalledSince.reset();
+  mSwitchoverWanted = false;
+  // A primary that fails again at once is not replaced at full speed.
+  mBackoffUntil = aNow + mBackoff;
+  mBackoff = mSettings.mInitialBackoff;
+}
+
+void
+FailoverMachine::OnCommandAnswered(const CommandAnswered& aAnswer,
+                                   Instant aNow)
+{
+  mHighestTerm = std::max(mHighestTerm, aAnswer.mReport.mFencedTerm);
+  const bool isCurrent =
+    aAnswer.mTerm == mTerm && aAnswer.mAttempt == mAttempt;
+  if (aAnswer.mIsGranted && aAnswer.mKind != CommandKind::Promote) {
+    OnReport(aAnswer.mReport, aNow);
+  }
+  if (!isCurrent) {
+    return;
+  }
+  if (mPhase == Phase::Fencing && aAnswer.mKind == CommandKind::Fence) {
+    if (aAnswer.mIsGranted) {
+      mGrants[aAnswer.mUpstream] = aAnswer.mReport;
+      CheckFenced(aNow);
+    } else if (aAnswer.mReport.mFencedTerm > mTerm) {
+      BackOff(aNow, "a higher term exists");
+    }
+  } else if (mPhase == Phase::Promoting &&
+             aAnswer.mKind == CommandKind::Promote) {
+    if (aAnswer.mIsGranted) {
+      FinishPromotion(aAnswer.mReport, aNow);
+    } else {
+      BackOff(aNow, "promotion refused");
+    }
+  }
+}
+
+void
+FailoverMachine::BackOff(Instant aNow, const std::string& aReason)
+{
+  Note("back-off", aReason);
+  mPhase = Phase::Watching;
+  mSuspectedAt.reset();
+  mBackoffUntil = aNow + mBackoff;
+  mBackoff = std::min(mBackoff * 2, mSettings.mMaxBackoff);
+}
+
+void
+FailoverMachine::Note(const std::string& aKind, const std::string& aDetail)
+{
+  Emit(NoteProgress{ aKind, mTerm, aDetail });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/ReadPolicy.cpp
@@ -0,0 +1,149 @@
+#include "LibDecision/ReadPolicy.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace papayaline {
+
+void
+FrontierHistory::Record(const Frontier& aFrontier)
+{
+  if (!mFrontiers.empty() && mFrontiers.back().mBegan >= aFrontier.mBegan) {
+    return;
+  }
+  mFrontiers.push_back(aFrontier);
+  if (mFrontiers.size() > kCapacity) {
+    mFrontiers.pop_front();
+  }
+}
+
+std::optional<Frontier>
+FrontierHistory::AtOrAfter(Instant aInstant) const
+{
+  const auto it =
+    std::ranges::lower_bound(mFrontiers, aInstant, {}, &Frontier::mBegan);
+  return it != mFrontiers.end() ? std::optional(*it) : std::nullopt;
+}
+
+namespace {
+
+/// Orders candidates by share of slots in use, then by failure domain.
+auto
+WorkOf(const ReadCandidate& aCandidate)
+{
+  const auto slots = std::max<uint32_t>(aCandidate.mSlots, 1);
+  return std::tuple(aCandidate.mInUse * 1000 / slots,
+                    !aCandidate.mIsSameDomain);
+}
+
+std::optional<size_t>
+BestReplica(std::span<const ReadCandidate> aCandidates,
+            LogPosition aNeeded,
+            RuleSet aRules)
+{
+  std::optional<size_t> best;
+  for (size_t it = 0; it < aCandidates.size(); ++it) {
+    const auto& candidate = aCandidates[it];
+    const bool serves = candidate.mIsUsable &&
+                        IsCleanReplica(candidate.mReport, aRules) &&
+                        ContainsToken(candidate.mReport, aNeeded, aRules);
+    if (serves && (!best || WorkOf(candidate) < WorkOf(aCandidates[*best]))) {
+      best = it;
+    }
+  }
+  return best;
+}
+
+std::optional<size_t>
+CurrentPrimary(std::span<const ReadCandidate> aCandidates)
+{
+  std::optional<size_t> primary;
+  for (size_t it = 0; it < aCandidates.size(); ++it) {
+    const auto& report = aCandidates[it].mReport;
+    if (report.mRole == Role::Primary &&
+        (!primary || report.mFencedTerm >
+                       aCandidates[*primary].mReport.mFencedTerm)) {
+      primary = it;
+    }
+  }
+  return primary && aCandidates[*primary].mIsUsable ? primary : std::nullopt;
+}
+
+/// The position that a replica must hold, with the instant up to which it
+/// proves the data to be complete.
+std::optional<Frontier>
+NeededPosition(const ReadNeed& aNeed,
+               const FrontierHistory& aFrontiers,
+               ReadRouting aRouting,
+               Instant aNow)
+{
+  if (aNeed.mMaxAge) {
+    auto frontier = aFrontiers.AtOrAfter(aNow - *aNeed.mMaxAge);
+    if (frontier && aNeed.mToken) {
+      frontier->mPosition = std::max(frontier->mPosition, *aNeed.mToken);
+    }
+    return frontier;
+  }
+  if (aNeed.mToken && aRouting != ReadRouting::PrimaryOnly) {
+    return Frontier{ *aNeed.mToken, aNeed.mArrivedAt };
+  }
+  if (aRouting == ReadRouting::ConfirmedFrontier) {
+    return aFrontiers.AtOrAfter(aNeed.mArrivedAt);
+  }
+  return std::nullopt;
+}
+
+bool
+PrefersPrimary(const ReadNeed& aNeed, ReadRouting aRouting)
+{
+  if (aNeed.mMaxAge) {
+    return false;
+  }
+  return aRouting == ReadRouting::PrimaryOnly ||
+         (aRouting == ReadRouting::TokenOnly && !aNeed.mToken);
+}
+
+}
+
+ReadChoice
+ChooseRead(const ReadNeed& aNeed,
+           std::span<const ReadCandidate> aCandidates,
+           const FrontierHistory& aFrontiers,
+           const ReadSettings& aSettings,
+           Instant aNow)
+{
+  const auto needed =
+    NeededPosition(aNeed, aFrontiers, aSettings.mRouting, aNow);
+  if (needed) {
+    const auto replica =
+      BestReplica(aCandidates, needed->mPosition, aSettings.mRules);
+    if (replica) {
+      return { ReadVerdict::UseReplica, *replica, needed->mBegan };
+    }
+  }
+  const bool hasWaited =
+    aNow - aNeed.mArrivedAt >= aSettings.mReplicaWait;
+  if (hasWaited || PrefersPrimary(aNeed, aSettings.mRouting)) {
+    if (const auto primary = CurrentPrimary(aCandidates)) {
+      return { ReadVerdict::UsePrimary, *primary, std::nullopt };
+    }
+  }
+  return {};
+}
+
+bool
+MayShowPrimaryRead(std::span<const UpstreamReport> aReports,
+                   size_t aGroupSize,
+                   LogPosition aSeen,
+                   Instant aNotBefore,
+                   RuleSet aRules)
+{
+  std::vector<UpstreamReport> fresh;
+  std::ranges::copy_if(
+    aReports, std::back_inserter(fresh), [&](const auto& it) {
+      return it.mAskedAt >= aNotBefore;
+    });
+  return IsAcknowledged(fresh, aGroupSize, aSeen, aRules);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/ReadPolicy.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "LibDecision/Quorum.h"
+
+#include <deque>
+
+namespace papayaline {
+
+/// Confirmed frontiers of one group on one instance, oldest first.
+class FrontierHistory
+{
+public:
+  static constexpr size_t kCapacity = 512;
+
+  /// Adds a frontier unless one that began later is already known.
+  void Record(const Frontier& aFrontier);
+
+  /// The oldest frontier whose round began at or after aInstant: the weakest
+  /// position that proves that a read is no older than aInstant.
+  std::optional<Frontier> AtOrAfter(Instant aInstant) const;
+
+private:
+  std::deque<Frontier> mFrontiers;
+};
+
+/// What a read must be able to see.
+struct ReadNeed
+{
+  /// Position that the caller's session has written or seen.
+  std::optional<LogPosition> mToken;
+  /// Allowed age; none means read-your-writes.
+  std::optional<Duration> mMaxAge;
+  Instant mArrivedAt;
+};
+
+/// An upstream that may serve a read.
+struct ReadCandidate
+{
+  UpstreamReport mReport;
+  bool mIsUsable = true;
+  uint32_t mInUse = 0;
+  uint32_t mSlots = 1;
+  bool mIsSameDomain = false;
+};
+
+enum class ReadVerdict
+{
+  UseReplica,
+  UsePrimary,
+  Wait,
+};
+
+/// Where a read goes; mIndex refers to the candidates.
+struct ReadChoice
+{
+  ReadVerdict mVerdict = ReadVerdict::Wait;
+  size_t mIndex = 0;
+  /// The data shown is complete up to this instant. Unset for a token read.
+  std::optional<Instant> mFreshAt;
+};
+
+/// How reads without a token prove that they are fresh.
+enum class ReadRouting
+{
+  /// Baseline of the measurements: every read-your-writes read uses the primary.
+  PrimaryOnly,
+  /// Only reads that carry a token use replicas.
+  TokenOnly,
+  ConfirmedFrontier,
+};
+
+struct ReadSettings
+{
+  ReadRouting mRouting = ReadRouting::ConfirmedFrontier;
+  /// How long a read waits for a replica before the primary serves it.
+  Duration mReplicaWait = std::chrono::milliseconds(20);
+  RuleSet mRules = RuleSet::All();
+};
+
+/// Chooses an upstream for a read, or Wait when no evidence suffices yet.
+/// Pure; any thread.
+ReadChoice
+ChooseRead(const ReadNeed& aNeed,
+           std::span<const ReadCandidate> aCandidates,
+           const FrontierHistory& aFrontiers,
+           const ReadSettings& aSettings,
+           Instant aNow);
+
+/// Whether the answer of a read at the primary may be shown: a majority held,
+/// in the primary's term, the position that the read saw, in reports asked for
+/// at or after aNotBefore.
+bool
+MayShowPrimaryRead(std::span<const UpstreamReport> aReports,
+                   size_t aGroupSize,
+                   LogPosition aSeen,
+                   Instant aNotBefore,
+                   RuleSet aRules = RuleSet::All());
+
+}
--- /dev/null
+++ b/Tests/StandIns/Database/Replication.cpp
@@ -0,0 +1,216 @@
+#include "Replication.h"
+
+#include "DatabaseServer.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QtEndian>
+
+namespace papayaline {
+
+namespace {
+
+constexpr int kHeartbeatMs = 200;
+constexpr int kStreamTimeoutMs = 1000;
+constexpr int kPollMs = 5;
+constexpr size_t kMaxBatch = 1000;
+
+/// The log's terms as runs of [term, count].
+QJsonArray
+TermRuns(const std::vector<LogEntry>& aLog)
+{
+  QJsonArray runs;
+  for (auto it = aLog.begin(); it != aLog.end();) {
+    const auto end = std::find_if(it, aLog.end(), [&](const auto& aEntry) {
+      return aEntry.mTerm != it->mTerm;
+    });
+    runs.append(QJsonArray{ static_cast<qint64>(it->mTerm),
+                            static_cast<qint64>(end - it) });
+    it = end;
+  }
+  return runs;
+}
+
+std::vector<LogEntry>
+EntriesOfRuns(const QJsonArray& aRuns)
+{
+  std::vector<LogEntry> log;
+  for (const auto& it : aRuns) {
+    const auto run = it.toArray();
+    LogEntry entry;
+    entry.mTerm = static_cast<uint64_t>(run[0].toInteger());
+    log.insert(log.end(), static_cast<size_t>(run[1].toInteger()), entry);
+  }
+  return log;
+}
+
+}
+
+ReplicationSender::ReplicationSender(DatabaseServer& aServer,
+                                     QTcpSocket* aSocket)
+  : QObject(aSocket)
+  , mServer(aServer)
+  , mSocket(aSocket)
+{
+  connect(aSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
+  connect(&mHeartbeat, &QTimer::timeout, this, [this] {
+    SendLine({ { "heartbeat", true } });
+  });
+  QMetaObject::invokeMethod(
+    this, [this] { OnReadyRead(); }, Qt::QueuedConnection);
+}
+
+void
+ReplicationSender::SendLine(const QJsonObject& aLine)
+{
+  if (mSocket) {
+    mSocket->write(QJsonDocument(aLine).toJson(QJsonDocument::Compact) + "\n");
+  }
+}
+
+void
+ReplicationSender::OnReadyRead()
+{
+  if (!mSocket || !mSocket->canReadLine()) {
+    return;
+  }
+  const auto hello = QJsonDocument::fromJson(mSocket->readLine()).object();
+  mTerm = static_cast<uint64_t>(hello["term"].toInteger());
+  if (!mServer.State().IsPrimary() || mServer.State().Term() != mTerm) {
+    Close();
+    return;
+  }
+  ReplicaState replica("replica");
+  replica.Restore(0, {}, EntriesOfRuns(hello["runs"].toArray()));
+  mSent = replica.CommonPrefix(mServer.State().Log());
+  SendLine({ { "truncate", static_cast<qint64>(mSent) },
+             { "term", static_cast<qint64>(mTerm) } });
+  mIsStarted = true;
+  mServer.AddStream(this);
+  mHeartbeat.start(kHeartbeatMs);
+  SendNew();
+}
+
+void
+ReplicationSender::SendNew()
+{
+  const auto& log = mServer.State().Log();
+  for (; mIsStarted && mSent < log.size(); ++mSent) {
+    SendLine(EntryToJson(log[mSent]));
+  }
+}
+
+void
+ReplicationSender::Close()
+{
+  mIsStarted = false;
+  mHeartbeat.stop();
+  if (mSocket) {
+    mSocket->disconnectFromHost();
+  }
+}
+
+ReplicationReceiver::ReplicationReceiver(DatabaseServer& aServer)
+  : mServer(aServer)
+{
+  mClock.start();
+  connect(
+    &mSocket, &QTcpSocket::connected, this, [this] { OnConnected(); });
+  connect(
+    &mSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
+  connect(&mTimer, &QTimer::timeout, this, [this] { Poll(); });
+}
+
+void
+ReplicationReceiver::Follow(const QByteArray& aHost, quint16 aPort)
+{
+  if (mTimer.isActive() && mHost == aHost && mPort == aPort) {
+    return;
+  }
+  Stop();
+  mHost = aHost;
+  mPort = aPort;
+  mTimer.start(kPollMs);
+  Connect();
+}
+
+void
+ReplicationReceiver::Stop()
+{
+  mTimer.stop();
+  mPending.clear();
+  mSocket.abort();
+}
+
+void
+ReplicationReceiver::Connect()
+{
+  mPending.clear();
+  mHeardMs = mClock.elapsed();
+  mSocket.abort();
+  mSocket.connectToHost(QString::fromUtf8(mHost), mPort);
+}
+
+void
+ReplicationReceiver::OnConnected()
+{
+  QByteArray body(4, '\0');
+  qToBigEndian<quint32>(196608, body.data());
+  body += QByteArray("replication\0papayaline\0\0", 24);
+  QByteArray length(4, '\0');
+  qToBigEndian<quint32>(static_cast<quint32>(body.size()) + 4, length.data());
+  const QJsonObject hello{
+    { "term", static_cast<qint64>(mServer.State().Term()) },
+    { "runs", TermRuns(mServer.State().Log()) }
+  };
+  mSocket.write(length + body);
+  mSocket.write(QJsonDocument(hello).toJson(QJsonDocument::Compact) + "\n");
+}
+
+void
+ReplicationReceiver::OnReadyRead()
+{
+  mHeardMs = mClock.elapsed();
+  while (mSocket.canReadLine()) {
+    HandleLine(QJsonDocument::fromJson(mSocket.readLine()).object());
+  }
+  ApplyDue();
+}
+
+void
+ReplicationReceiver::HandleLine(const QJsonObject& aLine)
+{
+  if (aLine.contains("truncate")) {
+    mServer.TruncateTo(static_cast<size_t>(aLine["truncate"].toInteger()));
+  } else if (aLine.contains("sql")) {
+    mPending.push_back(
+      { mClock.elapsed() + mServer.Options().mLagMs, EntryFromJson(aLine) });
+  }
+}
+
+void
+ReplicationReceiver::ApplyDue()
+{
+  std::vector<LogEntry> due;
+  while (!mPending.empty() && mPending.front().mDueMs <= mClock.elapsed() &&
+         due.size() < kMaxBatch) {
+    due.push_back(std::move(mPending.front().mEntry));
+    mPending.pop_front();
+  }
+  if (!due.empty()) {
+    mServer.ApplyReplicated(due);
+  }
+}
+
+void
+ReplicationReceiver::Poll()
+{
+  ApplyDue();
+  const bool isDown = mSocket.state() == QAbstractSocket::UnconnectedState;
+  const auto silence = mClock.elapsed() - mHeardMs;
+  if (silence > kStreamTimeoutMs || (isDown && silence > kPollMs * 10)) {
+    Connect();
+  }
+}
+
+}
