Papayalined: Serve the whole path from caller to database group

Cause: nothing ran yet. An instance accepts PostgreSQL v3 callers, sends writes with their ledger row to the primary, acknowledges them by majority evidence, and serves reads at replicas by token or confirmed frontier.

--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -25,6 +25,7 @@
   ShuttingDown,
   Cancelled,
   Conflict,
+  NotFound,
   Unreachable,
   Internal,
 };
--- a/Libraries/LibDecision/AdmissionQueue.cpp
+++ b/Libraries/LibDecision/AdmissionQueue.cpp
@@ -23,11 +23,20 @@
   return Admission::Admitted;
 }
 
-std::optional<QueuedRequest>
-AdmissionQueue::Front() const
+void
+AdmissionQueue::Readmit(const QueuedRequest& aRequest)
 {
-  return mQueue.empty() ? std::nullopt
-                        : std::optional(mQueue.begin()->second);
+  mQueue.emplace(Key{ aRequest.mRank, mNextArrival++ }, aRequest);
+}
+
+std::vector<uint64_t>
+AdmissionQueue::Order() const
+{
+  std::vector<uint64_t> ids;
+  std::ranges::transform(mQueue, std::back_inserter(ids), [](const auto& it) {
+    return it.second.mId;
+  });
+  return ids;
 }
 
 void
--- a/Libraries/LibDecision/AdmissionQueue.h
+++ b/Libraries/LibDecision/AdmissionQueue.h
@@ -40,12 +40,17 @@
   }
 
   void SetServers(unsigned aServers) { mServers = aServers; }
+  void SetCapacity(size_t aCapacity) { mCapacity = aCapacity; }
 
   /// A full queue makes room for a request of a lower rank value by evicting
   /// the last of the highest; the evicted id is returned by TakeEvicted.
   Admission Offer(const QueuedRequest& aRequest, Instant aNow);
 
-  std::optional<QueuedRequest> Front() const;
+  /// Puts back a request that was admitted before and must be tried again.
+  void Readmit(const QueuedRequest& aRequest);
+
+  /// The ids in the order in which they should be served.
+  std::vector<uint64_t> Order() const;
   void Remove(uint64_t aId);
 
   /// Removes and returns the requests whose deadline has passed.
--- a/Libraries/LibDecision/FailoverMachine.cpp
+++ b/Libraries/LibDecision/FailoverMachine.cpp
@@ -1,5 +1,7 @@
 #include "LibDecision/FailoverMachine.h"
 
+#include "LibDecision/Overloaded.h"
+
 #include <algorithm>
 #include <ranges>
 #include <utility>
@@ -8,12 +10,6 @@
 
 namespace {
 
-template<typename... Handlers>
-struct Overloaded : Handlers...
-{
-  using Handlers::operator()...;
-};
-
 const char*
 CauseName(FailoverCause aCause)
 {
--- /dev/null
+++ b/Libraries/LibDecision/Overloaded.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace papayaline {
+
+/// Combines handlers, one for each alternative, for std::visit.
+template<typename... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+}
--- a/Libraries/LibDecision/ReadPolicy.cpp
+++ b/Libraries/LibDecision/ReadPolicy.cpp
@@ -8,10 +8,17 @@
 void
 FrontierHistory::Record(const Frontier& aFrontier)
 {
-  if (!mFrontiers.empty() && mFrontiers.back().mBegan >= aFrontier.mBegan) {
+  const auto later = AtOrAfter(aFrontier.mBegan);
+  if (later && later->mPosition <= aFrontier.mPosition) {
     return;
   }
-  mFrontiers.push_back(aFrontier);
+  std::erase_if(mFrontiers, [&](const auto& it) {
+    return it.mBegan <= aFrontier.mBegan &&
+           it.mPosition >= aFrontier.mPosition;
+  });
+  const auto at = std::ranges::upper_bound(
+    mFrontiers, aFrontier.mBegan, {}, &Frontier::mBegan);
+  mFrontiers.insert(at, aFrontier);
   if (mFrontiers.size() > kCapacity) {
     mFrontiers.pop_front();
   }
--- a/Libraries/LibDecision/ReadPolicy.h
+++ b/Libraries/LibDecision/ReadPolicy.h
@@ -6,19 +6,22 @@
 
 namespace papayaline {
 
-/// Confirmed frontiers of one group on one instance, oldest first.
+/// Confirmed frontiers of one group on one instance, oldest first. Only those
+/// are kept that no later frontier with a lower or equal position replaces, so
+/// positions grow with time.
 class FrontierHistory
 {
 public:
   static constexpr size_t kCapacity = 512;
 
-  /// Adds a frontier unless one that began later is already known.
   void Record(const Frontier& aFrontier);
 
-  /// The oldest frontier whose round began at or after aInstant: the weakest
-  /// position that proves that a read is no older than aInstant.
+  /// The lowest position that proves that a read is complete up to aInstant or
+  /// later.
   std::optional<Frontier> AtOrAfter(Instant aInstant) const;
 
+  const std::deque<Frontier>& All() const { return mFrontiers; }
+
 private:
   std::deque<Frontier> mFrontiers;
 };
--- a/Libraries/LibWire/MessageWriter.h
+++ b/Libraries/LibWire/MessageWriter.h
@@ -48,6 +48,8 @@
   void CommandComplete(const QByteArray& aTag);
   void ErrorResponse(const QByteArray& aSqlState, const QByteArray& aMessage);
   void FatalResponse(const QByteArray& aSqlState, const QByteArray& aMessage);
+  /// Whole messages that were encoded before.
+  void Encoded(const QByteArray& aMessages) { mBuffer.append(aMessages); }
   /// A message without a body, such as ParseComplete ('1').
   void Empty(char aType);
   /// A message with a body that was prepared elsewhere.
--- /dev/null
+++ b/Services/Papayalined/AdminServer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "FailoverController.h"
+#include "SpreadController.h"
+
+#include <QHttpServer>
+#include <functional>
+
+namespace papayaline {
+
+/// The HTTP port: health, metrics, status and events for operators, and the
+/// messages between instances. Thread safety: control thread.
+class AdminServer : public QObject
+{
+public:
+  AdminServer(Blackboard& aBlackboard,
+              SpreadController& aSpread,
+              FailoverController& aFailover,
+              PlatformClient& aPlatform,
+              std::function<void()> aOnDrain);
+
+  /// Errors: Unreachable when the address can't be listened on.
+  Result<Done> Listen(const Address& aAddress);
+
+private:
+  void AddOperatorRoutes();
+  void AddPeerRoutes();
+  QJsonObject Status() const;
+  QJsonObject GroupStatus(const GroupConfiguration& aGroup) const;
+
+  Blackboard& mBlackboard;
+  SpreadController& mSpread;
+  FailoverController& mFailover;
+  PlatformClient& mPlatform;
+  std::function<void()> mOnDrain;
+  QHttpServer mServer;
+};
+
+}
--- /dev/null
+++ b/Services/Papayalined/DrainController.cpp
@@ -0,0 +1,94 @@
+#include "DrainController.h"
+
+#include "Clock.h"
+#include "LibCore/EventRing.h"
+#include "Log.h"
+
+#include <QCoreApplication>
+#include <csignal>
+#include <unistd.h>
+
+namespace papayaline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kReleaseInterval = 20ms;
+int sSignalPipe[2] = { -1, -1 };
+
+void
+OnSignal(int)
+{
+  const char byte = 0;
+  [[maybe_unused]] const auto n = write(sSignalPipe[1], &byte, 1);
+}
+
+}
+
+DrainController::DrainController(Blackboard& aBlackboard,
+                                 SpreadController& aSpread,
+                                 WorkerPool& aWorkers,
+                                 CallerListener& aListener)
+  : mBlackboard(aBlackboard)
+  , mSpread(aSpread)
+  , mWorkers(aWorkers)
+  , mListener(aListener)
+{
+  connect(&mTimer, &QTimer::timeout, this, [this] { ReleaseCallers(); });
+}
+
+DrainController::~DrainController() = default;
+
+Result<Done>
+DrainController::WatchSignals()
+{
+  if (pipe(sSignalPipe) != 0) {
+    return Error{ ErrorKind::Internal, "can't create the signal pipe" };
+  }
+  mSignalNotifier =
+    std::make_unique<QSocketNotifier>(sSignalPipe[0], QSocketNotifier::Read);
+  connect(mSignalNotifier.get(), &QSocketNotifier::activated, this, [this] {
+    char byte = 0;
+    [[maybe_unused]] const auto n = read(sSignalPipe[0], &byte, 1);
+    Drain();
+  });
+  std::signal(SIGTERM, OnSignal);
+  std::signal(SIGINT, OnSignal);
+  return Done{};
+}
+
+void
+DrainController::Drain()
+{
+  if (mBlackboard.GetDrainState() != DrainState::Serving) {
+    return;
+  }
+  const auto& settings = mBlackboard.GetSettings();
+  LogOf("drain")->info("Leaving; callers go in {} ms.",
+                       settings.mDrainNotice.count());
+  EventRing::Instance().Record("drain", "announced");
+  mBlackboard.SetDrainState(DrainState::Announced);
+  mSpread.AnnounceLeaving();
+  mDeadline = Now() + settings.mDrainNotice + settings.mDrainTimeout;
+  QTimer::singleShot(settings.mDrainNotice, this, [this] {
+    mBlackboard.SetDrainState(DrainState::Draining);
+    mListener.close();
+    mTimer.start(kReleaseInterval);
+  });
+}
+
+void
+DrainController::ReleaseCallers()
+{
+  size_t left = 0;
+  mWorkers.ForEachWorker([&left](Worker& aWorker) {
+    left += aWorker.ReleaseIdleCallers();
+  });
+  if (left == 0 || Now() >= mDeadline) {
+    LogOf("drain")->info("Exiting with {} callers left.", left);
+    QCoreApplication::exit(0);
+  }
+}
+
+}
--- /dev/null
+++ b/Services/Papayalined/Metrics.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <QByteArray>
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace papayaline {
+
+/// Counters of the request path.
+enum class Counter
+{
+  ReadsAtReplica,
+  AgedReadsAtReplica,
+  ReadsAtPrimary,
+  AgedReadsAtPrimary,
+  ReadRetries,
+  WritesDone,
+  WritesNotRun,
+  WritesUnknown,
+  WriteResolutions,
+  Refused,
+  CallerConnections,
+  StatusRequests,
+  PeerMessages,
+  PeerBytes,
+  Count,
+};
+
+/// Counters and latency histograms of this process.
+/// Thread safety: all methods may be called from any thread.
+class Metrics
+{
+public:
+  static Metrics& Instance();
+
+  void Add(Counter aCounter, int64_t aBy = 1);
+  int64_t Value(Counter aCounter) const;
+
+  /// Records the time from arrival to answer.
+  void ObserveLatency(const std::string& aClass, double aSeconds);
+
+  /// The Prometheus text format.
+  QByteArray ToText() const;
+
+private:
+  using Axis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
+  using Storage = boost::histogram::dense_storage<
+    boost::histogram::accumulators::thread_safe<uint64_t>>;
+  using Histogram =
+    boost::histogram::histogram<std::tuple<Axis>, Storage>;
+
+  std::array<std::atomic<int64_t>, static_cast<size_t>(Counter::Count)>
+    mCounters{};
+  mutable std::mutex mMutex;
+  std::map<std::string, Histogram> mLatencies;
+};
+
+}
--- /dev/null
+++ b/Services/Papayalined/RcuCell.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <urcu/urcu-memb.h>
+
+#include <memory>
+#include <utility>
+
+namespace papayaline {
+
+/// Registers the calling thread as a reader for its lifetime.
+class RcuReader
+{
+public:
+  RcuReader() { urcu_memb_register_thread(); }
+  ~RcuReader() { urcu_memb_unregister_thread(); }
+  RcuReader(const RcuReader&) = delete;
+  RcuReader& operator=(const RcuReader&) = delete;
+};
+
+/// An immutable value published by read-copy-update. Readers never wait; a
+/// writer waits for the readers of the value that it replaces.
+template<typename T>
+class RcuCell
+{
+public:
+  RcuCell() = default;
+  RcuCell(const RcuCell&) = delete;
+  RcuCell& operator=(const RcuCell&) = delete;
+  ~RcuCell() { delete mValue; }
+
+  /// Calls aUse with the present value.
+  /// Precondition: the thread holds an RcuReader and a value was published.
+  /// Thread safety: any registered thread; aUse must not block.
+  template<typename Use>
+  auto Read(Use aUse) const
+  {
+    urcu_memb_read_lock();
+    struct Unlock
+    {
+      ~Unlock() { urcu_memb_read_unlock(); }
+    } unlock;
+    return aUse(std::as_const(*rcu_dereference(mValue)));
+  }
+
+  /// Replaces the value. Thread safety: one writer at a time, not within Read.
+  void Publish(std::unique_ptr<T> aValue)
+  {
+    T* old = rcu_xchg_pointer(&mValue, aValue.release());
+    urcu_memb_synchronize_rcu();
+    delete old;
+  }
+
+private:
+  T* mValue = nullptr;
+};
+
+}
--- /dev/null
+++ b/Services/Papayalined/main.cpp
@@ -0,0 +1,114 @@
+#include "AdminServer.h"
+#include "CallerListener.h"
+#include "DrainController.h"
+#include "FailoverController.h"
+#include "LibConfiguration/YamlMap.h"
+#include "LibCore/EventRing.h"
+#include "Log.h"
+
+#include <QCoreApplication>
+#include <cstdio>
+#include <docopt.h>
+
+namespace {
+
+using namespace papayaline;
+
+constexpr const char kUsage[] =
+  R"(Database proxy with session consistency: one instance.
+
+Usage:
+  papayalined --settings=FILE [--check] [--log-format=FORMAT]
+  papayalined (-h | --help)
+  papayalined --version
+
+Options:
+  --settings=FILE       YAML file with this instance's settings.
+  --check               Check the settings and exit: 0 when they are valid.
+  --log-format=FORMAT   "text" or "json" [default: text].
+  -h --help             Show this text.
+  --version             Show the version.
+
+SIGTERM drains the instance: it finishes every request in flight, lets callers
+go at a request boundary, and exits with 0.
+)";
+
+constexpr int kExitBadInput = 2;
+constexpr int kExitCantListen = 3;
+
+int
+Fail(const Error& aError, int aCode)
+{
+  std::fprintf(stderr, "papayalined: %s\n", aError.mMessage.c_str());
+  return aCode;
+}
+
+Result<Settings>
+LoadSettings(const std::string& aFile)
+{
+  const auto text = PL_TRY(ReadFile(aFile));
+  return ParseSettings(text, aFile);
+}
+
+int
+Serve(const Settings& aSettings)
+{
+  const RcuReader reader;
+  EventRing::Instance().SetInstanceName(
+    QString::fromStdString(aSettings.mInstance));
+  auto tls = LoadTls(aSettings);
+  if (tls.IsError()) {
+    return Fail(tls.GetError(), kExitBadInput);
+  }
+  Blackboard blackboard(aSettings);
+  WorkerPool workers(blackboard, aSettings.mWorkers);
+  PlatformClient platform(aSettings.mPlatform.ToString());
+  PeerClient peers;
+  SpreadController spread(blackboard, platform, peers);
+  FailoverController failover(blackboard, workers, platform, peers);
+  CallerContext context{ blackboard, workers, tls.Take() };
+  CallerListener listener(context);
+  DrainController drain(blackboard, spread, workers, listener);
+  AdminServer admin(
+    blackboard, spread, failover, platform, [&drain] { drain.Drain(); });
+
+  const auto watched = drain.WatchSignals();
+  if (watched.IsError()) {
+    return Fail(watched.GetError(), kExitCantListen);
+  }
+  const auto adminListens = admin.Listen(aSettings.mHttpAddress);
+  if (adminListens.IsError()) {
+    return Fail(adminListens.GetError(), kExitCantListen);
+  }
+  const auto callersListen = listener.Listen(aSettings.mCallerAddress);
+  if (callersListen.IsError()) {
+    return Fail(callersListen.GetError(), kExitCantListen);
+  }
+  LogOf("main")->info("Instance {} accepts callers on {}.",
+                      aSettings.mInstance,
+                      aSettings.mCallerAddress.ToString());
+  spread.Start();
+  return QCoreApplication::exec();
+}
+
+}
+
+int
+main(int argc, char* argv[])
+{
+  QCoreApplication application(argc, argv);
+  auto arguments = docopt::docopt(
+    kUsage, { argv + 1, argv + argc }, true, "papayalined 0.1");
+  SetLogFormat(arguments["--log-format"].asString() == "json"
+                 ? LogFormat::Json
+                 : LogFormat::Text);
+  const auto settings = LoadSettings(arguments["--settings"].asString());
+  if (settings.IsError()) {
+    return Fail(settings.GetError(), kExitBadInput);
+  }
+  if (arguments["--check"].asBool()) {
+    std::printf("settings are valid\n");
+    return 0;
+  }
+  return Serve(settings.Value());
+}
--- a/Tests/StandIns/Database/DatabaseServer.h
+++ b/Tests/StandIns/Database/DatabaseServer.h
@@ -58,6 +58,7 @@
 
   void AddStream(ReplicationSender* aStream) { mStreams.insert(aStream); }
   void RemoveSession(DatabaseSession* aSession);
+  size_t SessionCount() const { return mSessions.size(); }
 
 protected:
   void incomingConnection(qintptr aDescriptor) override;
--- a/Tests/StandIns/Database/DatabaseSession.cpp
+++ b/Tests/StandIns/Database/DatabaseSession.cpp
@@ -122,8 +122,7 @@
     new ReplicationSender(mServer, mSocket);
     return;
   }
-  if (mServer.findChildren<DatabaseSession*>().size() >
-      static_cast<qsizetype>(mServer.Options().mConnections)) {
+  if (mServer.SessionCount() > mServer.Options().mConnections) {
     mWriter.FatalResponse("53300", "too many connections");
     Flush();
     mSocket->disconnectFromHost();
--- a/Tests/StandIns/LibReplica/ReplicaState.cpp
+++ b/Tests/StandIns/LibReplica/ReplicaState.cpp
@@ -23,8 +23,10 @@
   }
   mTerm = aTerm;
   mAttempt = aAttempt;
-  mRole = Role::Fenced;
-  mFollows.clear();
+  if (mRules.Has(Rule::Fence)) {
+    mRole = Role::Fenced;
+    mFollows.clear();
+  }
   return true;
 }
 
@@ -64,10 +66,8 @@
 bool
 ReplicaState::AcceptsReplication(uint64_t aTerm) const
 {
-  if (!mRules.Has(Rule::Fence)) {
-    return mRole == Role::Replica || mRole == Role::Fenced;
-  }
-  return mRole == Role::Replica && aTerm == mTerm;
+  return mRole == Role::Replica &&
+         (aTerm == mTerm || !mRules.Has(Rule::Fence));
 }
 
 size_t
