--- a/Tests/LibCluster/Caller.cpp
+++ b/Tests/LibCluster/Caller.cpp
@@ -1,5 +1,8 @@
 #include "Caller.h"
 
+#include <chrono>
+#include <poll.h>
+
 namespace papayaline {
 
 namespace {
@@ -55,10 +58,58 @@
   return PQstatus(mConnection.get()) == CONNECTION_OK;
 }
 
+/// Reads results until the command ends; keeps the first failure, else the
+/// last result.
+CallerResult
+Caller::Await()
+{
+  CallerResult result;
+  result.mIsLost = true;
+  const auto deadline =
+    std::chrono::steady_clock::now() + std::chrono::milliseconds(kTimeoutMs);
+  for (;;) {
+    while (PQisBusy(mConnection.get()) != 0) {
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        deadline - std::chrono::steady_clock::now());
+      pollfd waiting{ PQsocket(mConnection.get()), POLLIN, 0 };
+      const bool isReadable =
+        left.count() > 0 &&
+        poll(&waiting, 1, static_cast<int>(left.count())) > 0;
+      if (!isReadable || PQconsumeInput(mConnection.get()) == 0) {
+        result.mIsOk = false;
+        result.mIsLost = true;
+        mConnection.reset();
+        return result;
+      }
+    }
+    PGresult* next = PQgetResult(mConnection.get());
+    if (!next) {
+      break;
+    }
+    const bool hasFailed = !result.mIsLost && !result.mIsOk;
+    if (hasFailed) {
+      PQclear(next);
+    } else {
+      result = ResultOf(next);
+    }
+  }
+  if (PQstatus(mConnection.get()) != CONNECTION_OK &&
+      result.mSqlState.empty()) {
+    result.mIsOk = false;
+    result.mIsLost = true;
+  }
+  return result;
+}
+
 CallerResult
 Caller::Run(const std::string& aSql)
 {
-  return ResultOf(PQexec(mConnection.get(), aSql.c_str()));
+  if (!IsConnected() || PQsendQuery(mConnection.get(), aSql.c_str()) == 0) {
+    CallerResult lost;
+    lost.mIsLost = true;
+    return lost;
+  }
+  return Await();
 }
 
 CallerResult
@@ -69,14 +120,19 @@
   for (const auto& it : aValues) {
     values.push_back(it.c_str());
   }
-  return ResultOf(PQexecParams(mConnection.get(),
-                               aSql.c_str(),
-                               static_cast<int>(values.size()),
-                               nullptr,
-                               values.data(),
-                               nullptr,
-                               nullptr,
-                               0));
+  if (!IsConnected() || PQsendQueryParams(mConnection.get(),
+                                          aSql.c_str(),
+                                          static_cast<int>(values.size()),
+                                          nullptr,
+                                          values.data(),
+                                          nullptr,
+                                          nullptr,
+                                          0) == 0) {
+    CallerResult lost;
+    lost.mIsLost = true;
+    return lost;
+  }
+  return Await();
 }
 
 std::string
--- a/Tests/LibCluster/Caller.h
+++ b/Tests/LibCluster/Caller.h
@@ -16,6 +16,8 @@
   std::string mMessage;
   std::string mTag;
   std::vector<std::vector<std::string>> mRows;
+  /// No whole answer came: the outcome is not known to the caller.
+  bool mIsLost = false;
 
   /// The only cell, or an empty text.
   std::string Cell() const;
@@ -32,6 +34,9 @@
          const std::string& aOptions = {},
          const std::string& aUser = "agents");
 
+  /// How long a statement may take; then the connection is given up.
+  static constexpr int kTimeoutMs = 10'000;
+
   bool IsConnected() const;
   CallerResult Run(const std::string& aSql);
   CallerResult RunParams(const std::string& aSql,
@@ -42,6 +47,8 @@
   PGconn* Handle() const { return mConnection.get(); }
 
 private:
+  CallerResult Await();
+
   struct Closer
   {
     void operator()(PGconn* aIt) const { PQfinish(aIt); }
--- /dev/null
+++ b/Tests/LibHistory/Workload.cpp
@@ -0,0 +1,270 @@
+#include "Workload.h"
+
+#include <chrono>
+
+namespace papayaline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int64_t kGalleryAgeUs = 2'000'000;
+constexpr int kBookingTries = 12;
+constexpr auto kPause = 3ms;
+constexpr auto kRetryPause = 100ms;
+
+int64_t
+NowUs()
+{
+  using namespace std::chrono;
+  return duration_cast<microseconds>(
+           steady_clock::now().time_since_epoch())
+    .count();
+}
+
+/// The SQLSTATEs whose text says that the request was not run.
+bool
+IsNotRun(const CallerResult& aResult)
+{
+  return !aResult.mIsLost &&
+         aResult.mMessage.find("was not run") != std::string::npos;
+}
+
+}
+
+Workload::Workload(const Cluster& aCluster, int aInstances, uint64_t aSeed)
+  : mCluster(aCluster)
+  , mInstances(aInstances)
+  , mSeed(aSeed)
+{
+}
+
+Caller&
+Workload::Connections::To(int aInstance)
+{
+  const auto it = mCallers.find(aInstance);
+  if (it != mCallers.end() && it->second.IsConnected()) {
+    return it->second;
+  }
+  mCallers.erase(aInstance);
+  return mCallers
+    .emplace(aInstance, mCluster.Connect(aInstance, "bookings", {}, mUser))
+    .first->second;
+}
+
+bool
+Workload::Prepare()
+{
+  auto caller = mCluster.Connect(0);
+  return caller.Run("CREATE TABLE visits (id INTEGER, worker INTEGER)").mIsOk &&
+         caller.Run("CREATE TABLE ticks (n INTEGER)").mIsOk &&
+         caller.Run("INSERT INTO ticks VALUES (0)").mIsOk;
+}
+
+void
+Workload::Start(int aWorkers)
+{
+  mIsStopping = false;
+  for (int it = 0; it < aWorkers; ++it) {
+    mThreads.emplace_back(
+      [this, it] { Work(it, mSeed + static_cast<uint64_t>(it)); });
+  }
+  mThreads.emplace_back([this] { Tick(mSeed + 1000); });
+}
+
+void
+Workload::Stop()
+{
+  mIsStopping = true;
+  for (auto& it : mThreads) {
+    it.join();
+  }
+  mThreads.clear();
+}
+
+int
+Workload::SomeInstance(Random& aRandom) const
+{
+  return std::uniform_int_distribution<int>(0, mInstances - 1)(aRandom);
+}
+
+void
+Workload::Work(int aWorker, uint64_t aSeed)
+{
+  Random random(aSeed);
+  Connections agents(mCluster, "agents");
+  Connections gallery(mCluster, "gallery");
+  while (!mIsStopping) {
+    Book(aWorker, agents, random);
+    ReadOwn(aWorker, agents, random);
+    ReadAged(gallery, random);
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+CallerResult
+Workload::TryBooking(Caller& aCaller,
+                     const Booking& aBooking,
+                     bool aIsTransaction)
+{
+  const auto id = std::to_string(aBooking.mId);
+  const auto insert = "INSERT INTO visits VALUES (" + id + ", " +
+                      std::to_string(aBooking.mWorker) + ")";
+  auto set =
+    aCaller.Run("SET papayaline.request_id = 'booking-" + id + "'");
+  if (!set.mIsOk || !aIsTransaction) {
+    return set.mIsOk ? aCaller.Run(insert) : set;
+  }
+  aCaller.Run("BEGIN");
+  const auto inserted = aCaller.Run(insert);
+  if (!inserted.mIsOk) {
+    aCaller.Run("ROLLBACK");
+    return inserted;
+  }
+  return aCaller.Run("COMMIT");
+}
+
+/// A caller that gets no answer asks again; one that is told "not run" may ask
+/// again as well, and counts as refused when it gives up.
+void
+Workload::Book(int aWorker, Connections& aConnections, Random& aRandom)
+{
+  Booking booking;
+  booking.mId = mNextId++;
+  booking.mWorker = aWorker;
+  booking.mStartedUs = NowUs();
+  const bool isTransaction = aRandom() % 3 == 0;
+  for (int it = 0; it < kBookingTries; ++it) {
+    auto& caller = aConnections.To(SomeInstance(aRandom));
+    const auto result = TryBooking(caller, booking, isTransaction);
+    const bool wasDoneBefore =
+      result.mSqlState == "23505" &&
+      result.mMessage.find("request-id-reused") != std::string::npos;
+    if (result.mIsOk || wasDoneBefore) {
+      booking.mOutcome = BookingOutcome::Acknowledged;
+      break;
+    }
+    if (IsNotRun(result) && it == 0) {
+      booking.mOutcome = BookingOutcome::NotRun;
+      break;
+    }
+    // An earlier try may have run, so from here on only an answer settles it.
+    booking.mOutcome = BookingOutcome::Unknown;
+    if (mIsStopping) {
+      break;
+    }
+    std::this_thread::sleep_for(kRetryPause);
+  }
+  booking.mEndedUs = NowUs();
+  Count(booking);
+}
+
+void
+Workload::Count(const Booking& aBooking)
+{
+  if (aBooking.mOutcome == BookingOutcome::Acknowledged) {
+    ++mAcknowledged;
+    const auto last = mLastAcknowledgedUs.exchange(aBooking.mEndedUs);
+    const auto gap = last == 0 ? 0 : aBooking.mEndedUs - last;
+    if (gap > mLongestGapUs) {
+      mLongestGapUs = gap;
+    }
+  } else {
+    ++(aBooking.mOutcome == BookingOutcome::NotRun ? mNotRun : mUnknown);
+  }
+  std::lock_guard lock(mMutex);
+  mHistory.mBookings.push_back(aBooking);
+}
+
+void
+Workload::ResetGap()
+{
+  mLongestGapUs = 0;
+}
+
+void
+Workload::ReadOwn(int aWorker, Connections& aConnections, Random& aRandom)
+{
+  OwnRead read;
+  read.mWorker = aWorker;
+  auto& caller = aConnections.To(SomeInstance(aRandom));
+  read.mStartedUs = NowUs();
+  const auto marker = std::to_string(aRandom() % 1'000'000);
+  const auto result = caller.Run("SELECT id, '" + marker +
+                                 "' FROM visits WHERE worker = " +
+                                 std::to_string(aWorker));
+  if (!result.mIsOk) {
+    return;
+  }
+  std::vector<std::string> wrong;
+  for (const auto& it : result.mRows) {
+    if (it.size() != 2 || it[1] != marker) {
+      wrong.push_back("expected marker " + marker);
+      continue;
+    }
+    read.mSeen.push_back(std::stoll(it[0]));
+  }
+  std::lock_guard lock(mMutex);
+  mHistory.mOwnReads.push_back(read);
+  mHistory.mWrongAnswers.insert(
+    mHistory.mWrongAnswers.end(), wrong.begin(), wrong.end());
+}
+
+void
+Workload::ReadAged(Connections& aConnections, Random& aRandom)
+{
+  AgedRead read;
+  read.mMaxAgeUs = kGalleryAgeUs;
+  auto& caller = aConnections.To(SomeInstance(aRandom));
+  read.mStartedUs = NowUs();
+  const auto result = caller.Run("SELECT max(n) FROM ticks");
+  if (!result.mIsOk || result.Cell().empty()) {
+    return;
+  }
+  read.mSeenTick = std::stoll(result.Cell());
+  std::lock_guard lock(mMutex);
+  mHistory.mAgedReads.push_back(read);
+}
+
+void
+Workload::Tick(uint64_t aSeed)
+{
+  Random random(aSeed);
+  Connections connections(mCluster, "agents");
+  for (int64_t n = 1; !mIsStopping; ++n) {
+    auto& caller = connections.To(SomeInstance(random));
+    const auto result =
+      caller.Run("INSERT INTO ticks VALUES (" + std::to_string(n) + ")");
+    if (result.mIsOk) {
+      std::lock_guard lock(mMutex);
+      mHistory.mTicks.push_back({ n, NowUs() });
+    }
+    std::this_thread::sleep_for(20ms);
+  }
+}
+
+History
+Workload::Finish()
+{
+  Stop();
+  std::string primary;
+  Cluster::WaitFor([&] {
+    for (int it = 0; it < mInstances && primary.empty(); ++it) {
+      primary = mCluster.Primary("bookings", it);
+    }
+    return !primary.empty();
+  });
+  if (primary.empty()) {
+    mHistory.mWrongAnswers.emplace_back("no primary at the end");
+    return mHistory;
+  }
+  auto direct = mCluster.ConnectDirect(primary);
+  const auto rows =
+    direct.Run("SELECT id, count(*) FROM visits GROUP BY id").mRows;
+  for (const auto& it : rows) {
+    mHistory.mFinal[std::stoll(it[0])] = std::stoi(it[1]);
+  }
+  return mHistory;
+}
+
+}
