LibDecision: Let another holder's attempt finish before starting a higher term

Cause: in failover/slow each holder that saw the fence of another as a missing primary started a higher term and spoiled the attempt; six terms for one failure. A lost control connection also counted as a failed database, though a database closes all connections when it cuts its log. Ruled out: the link's delay alone; a single holder finishes in one round. Change: a term without a primary holds all others back for the takeover time plus their rank; among equal logs the first to answer is promoted; only a connection that can't be made counts as a failure.

--- a/Libraries/LibDecision/FailoverMachine.cpp
+++ b/Libraries/LibDecision/FailoverMachine.cpp
@@ -89,10 +89,19 @@
   seen.mReport = aReport;
   seen.mHeardAt = aNow;
   seen.mFailingSince.reset();
-  mHighestTerm = std::max(mHighestTerm, aReport.mFencedTerm);
+  ObserveTerm(aReport.mFencedTerm, aNow);
   TrackProgress(aNow);
 }
 
+void
+FailoverMachine::ObserveTerm(uint64_t aTerm, Instant aNow)
+{
+  if (aTerm > mHighestTerm) {
+    mHighestTerm = aTerm;
+    mHighestTermAt = aNow;
+  }
+}
+
 std::vector<UpstreamReport>
 FailoverMachine::Reports() const
 {
@@ -230,13 +239,9 @@
   if (!mSuspectedAt || aNow < mBackoffUntil) {
     return;
   }
-  // Another holder's attempt shows as a term without a primary; it gets the
-  // time to finish before this one starts a higher term.
-  const Duration patience = cause == FailoverCause::SplitTerms
-                              ? mSettings.mTakeoverTimeout
-                              : Duration{};
   const auto rank = static_cast<int>(*mIdentity.mHolderIndex);
-  if (aNow - *mSuspectedAt < patience + mSettings.mRankDelay * rank) {
+  if (IsAnotherAtWork(aNow) ||
+      aNow - *mSuspectedAt < mSettings.mRankDelay * rank) {
     return;
   }
   if (cause == FailoverCause::Switchover) {
@@ -246,6 +251,19 @@
   }
 }
 
+/// A term without a primary is another holder's attempt. It gets the time to
+/// finish before this one starts a higher term and spoils it.
+bool
+FailoverMachine::IsAnotherAtWork(Instant aNow) const
+{
+  const auto primary = KnownPrimary();
+  const bool isOpen = !primary || primary->mFencedTerm < mHighestTerm;
+  const auto rank = static_cast<int>(*mIdentity.mHolderIndex);
+  const auto patience =
+    mSettings.mTakeoverTimeout + mSettings.mRankDelay * rank;
+  return mHighestTerm > 0 && isOpen && aNow - mHighestTermAt < patience;
+}
+
 void
 FailoverMachine::Repair(Instant aNow)
 {
@@ -380,7 +398,7 @@
   }
   mPhase = Phase::Fencing;
   mTerm = NextTerm();
-  mHighestTerm = mTerm;
+  ObserveTerm(mTerm, aNow);
   mAttempt = mIdentity.mInstance + "/" + mIdentity.mIncarnation + "/" +
              std::to_string(++mAttemptCount);
   mGrants.clear();
@@ -405,7 +423,7 @@
     return;
   }
   for (const auto& it : mIdentity.mUpstreams) {
-    if (!mGrants.contains(it)) {
+    if (!HasGranted(it)) {
       Emit(SendCommand{ it, CommandKind::Fence, mTerm, mAttempt, {} });
     }
   }
@@ -439,17 +457,26 @@
   return !isReplaced && !mIdentity.mLeaving.contains(aUpstream);
 }
 
+bool
+FailoverMachine::HasGranted(const std::string& aUpstream) const
+{
+  return std::ranges::find(mGrants, aUpstream, &UpstreamReport::mUpstream) !=
+         mGrants.end();
+}
+
+/// Takes the most advanced log; among equals a preferred upstream, then the one
+/// that answered first.
 void
 FailoverMachine::StartPromotion(Instant aNow)
 {
-  const auto isBetter = [&](const auto& aLeft, const auto& aRight) {
+  const auto isWorse = [&](const auto& aLeft, const auto& aRight) {
     if (mSettings.mRules.Has(Rule::MostAdvancedLog) &&
-        aLeft.second.mLast != aRight.second.mLast) {
-      return aLeft.second.mLast < aRight.second.mLast;
+        aLeft.mLast != aRight.mLast) {
+      return aLeft.mLast < aRight.mLast;
     }
-    return PrefersTarget(aLeft.first) < PrefersTarget(aRight.first);
+    return PrefersTarget(aLeft.mUpstream) < PrefersTarget(aRight.mUpstream);
   };
-  mTarget = std::ranges::max_element(mGrants, isBetter)->first;
+  mTarget = std::ranges::max_element(mGrants, isWorse)->mUpstream;
   mPhase = Phase::Promoting;
   mStepDeadline = aNow + mSettings.mStepTimeout;
   mLastSend = aNow;
@@ -463,10 +490,11 @@
   Note("promoted", mTarget);
   OnReport(aReport, aNow);
   Emit(PublishPrimary{ mTerm, mTarget });
-  for (const auto& [it, value] : mGrants) {
-    if (it != mTarget) {
-      mObservations[it].mLastRepair = aNow;
-      Emit(SendCommand{ it, CommandKind::Follow, mTerm, mAttempt, mTarget });
+  for (const auto& it : mGrants) {
+    if (it.mUpstream != mTarget) {
+      mObservations[it.mUpstream].mLastRepair = aNow;
+      Emit(SendCommand{
+        it.mUpstream, CommandKind::Follow, mTerm, mAttempt, mTarget });
     }
   }
   mPhase = Phase::Watching;
@@ -481,7 +509,7 @@
 void
 FailoverMachine::OnCommandAnswered(const CommandAnswered& aAnswer, Instant aNow)
 {
-  mHighestTerm = std::max(mHighestTerm, aAnswer.mReport.mFencedTerm);
+  ObserveTerm(aAnswer.mReport.mFencedTerm, aNow);
   const bool isCurrent = aAnswer.mTerm == mTerm && aAnswer.mAttempt == mAttempt;
   if (aAnswer.mIsGranted && aAnswer.mKind != CommandKind::Promote) {
     OnReport(aAnswer.mReport, aNow);
@@ -491,7 +519,9 @@
   }
   if (mPhase == Phase::Fencing && aAnswer.mKind == CommandKind::Fence) {
     if (aAnswer.mIsGranted) {
-      mGrants[aAnswer.mUpstream] = aAnswer.mReport;
+      if (!HasGranted(aAnswer.mUpstream)) {
+        mGrants.push_back(aAnswer.mReport);
+      }
       CheckFenced(aNow);
     } else if (aAnswer.mReport.mFencedTerm > mTerm) {
       BackOff(aNow, "a higher term exists");
--- a/Libraries/LibDecision/FailoverMachine.h
+++ b/Libraries/LibDecision/FailoverMachine.h
@@ -195,8 +195,11 @@
   void BackOff(Instant aNow, const std::string& aReason);
   void Emit(FailoverAction aAction) { mActions.push_back(std::move(aAction)); }
   void Note(const std::string& aKind, const std::string& aDetail);
+  void ObserveTerm(uint64_t aTerm, Instant aNow);
+  bool HasGranted(const std::string& aUpstream) const;
   uint64_t NextTerm() const;
   bool PrefersTarget(const std::string& aUpstream) const;
+  bool IsAnotherAtWork(Instant aNow) const;
   std::vector<UpstreamReport> Reports() const;
   std::optional<UpstreamReport> KnownPrimary() const;
 
@@ -211,6 +214,8 @@
   std::optional<Instant> mStalledSince;
   LogPosition mBestReplica;
   uint64_t mHighestTerm = 0;
+  /// When a term higher than all before was first seen.
+  Instant mHighestTermAt;
   uint64_t mAttemptCount = 0;
 
   uint64_t mTerm = 0;
@@ -219,7 +224,8 @@
   std::string mOldPrimary;
   bool mIsPlanned = false;
   bool mSwitchoverWanted = false;
-  std::map<std::string, UpstreamReport> mGrants;
+  /// In the order in which they came.
+  std::vector<UpstreamReport> mGrants;
   std::optional<Instant> mMajorityAt;
   Instant mStepDeadline;
   Instant mLastSend;
--- a/Services/Papayalined/UpstreamProber.cpp
+++ b/Services/Papayalined/UpstreamProber.cpp
@@ -50,15 +50,29 @@
 UpstreamProber::Connect()
 {
   mLastHeard = Now();
+  mWasReady = false;
   mConnection = std::make_unique<UpstreamConnection>(
     mUpstream.mAddress,
     mGroup,
     nullptr,
-    [this] { Next(); },
     [this] {
-      mCommands.clear();
-      mOnFailure();
-    });
+      mWasReady = true;
+      Next();
+    },
+    [this] { OnClosed(); });
+}
+
+/// A connection that was lost says little: a database also closes all of them
+/// when it cuts its log. One that can't be made anew is a failure.
+void
+UpstreamProber::OnClosed()
+{
+  mCommands.clear();
+  if (mWasReady) {
+    mLastHeard -= kFastInterval;
+  } else {
+    mOnFailure();
+  }
 }
 
 void
--- a/Services/Papayalined/UpstreamProber.h
+++ b/Services/Papayalined/UpstreamProber.h
@@ -51,6 +51,7 @@
   };
 
   void Connect();
+  void OnClosed();
   void OnTimer();
   void Next();
   void AskStatus();
@@ -70,6 +71,7 @@
   QTimer mPause;
   bool mIsDemanded = false;
   bool mIsReporting = false;
+  bool mWasReady = false;
 };
 
 }
--- a/Tests/Exploration/World.cpp
+++ b/Tests/Exploration/World.cpp
@@ -91,8 +91,7 @@
 size_t
 World::IndexOf(const std::string& aDatabase) const
 {
-  const auto it =
-    std::ranges::find(mDatabases, aDatabase, &ReplicaState::Name);
+  const auto it = std::ranges::find(mDatabases, aDatabase, &ReplicaState::Name);
   return static_cast<size_t>(it - mDatabases.begin());
 }
 
@@ -125,12 +124,12 @@
     void (World::*mStep)();
   };
   static constexpr std::array kChoices = {
-    Choice{ 6, &World::Advance },        Choice{ 16, &World::TickHolder },
-    Choice{ 24, &World::AskStatus },     Choice{ 50, &World::DeliverMessage },
-    Choice{ 16, &World::Replicate },     Choice{ 1, &World::RestartDatabase },
-    Choice{ 6, &World::StartWrite },     Choice{ 12, &World::ProgressWrite },
-    Choice{ 5, &World::StartRead },      Choice{ 10, &World::ProgressRead },
-    Choice{ 2, &World::WriteBurst },     Choice{ 2, &World::CutDatabase },
+    Choice{ 6, &World::Advance },    Choice{ 16, &World::TickHolder },
+    Choice{ 24, &World::AskStatus }, Choice{ 50, &World::DeliverMessage },
+    Choice{ 16, &World::Replicate }, Choice{ 1, &World::RestartDatabase },
+    Choice{ 6, &World::StartWrite }, Choice{ 12, &World::ProgressWrite },
+    Choice{ 5, &World::StartRead },  Choice{ 10, &World::ProgressRead },
+    Choice{ 2, &World::WriteBurst }, Choice{ 2, &World::CutDatabase },
   };
   static const unsigned sTotal = [] {
     unsigned total = 0;
@@ -219,8 +218,8 @@
       granted = database.Promote(command.mTerm, command.mAttempt);
       break;
     case CommandKind::Follow:
-      granted = database.Follow(
-        command.mTerm, command.mAttempt, command.mTarget);
+      granted =
+        database.Follow(command.mTerm, command.mAttempt, command.mTarget);
       if (granted) {
         mStreams.push_back({ IndexOf(command.mTarget),
                              IndexOf(command.mUpstream),
@@ -311,8 +310,7 @@
 {
   auto& database = mDatabases[Pick(kDatabases)];
   const auto report = database.Report();
-  database.Restore(
-    report.mFencedTerm, report.mAttempt, database.Log());
+  database.Restore(report.mFencedTerm, report.mAttempt, database.Log());
 }
 
 /// Cuts a database off from its peers and the holders, while callers' instances
@@ -421,8 +419,7 @@
   }
   write.mIsInFlight = true;
   ++write.mAttempt;
-  mMessages.push_back(
-    ResolutionMessage{ aWrite, *primary, write.mAttempt });
+  mMessages.push_back(ResolutionMessage{ aWrite, *primary, write.mAttempt });
 }
 
 /// The database acts even when nobody waits for its answer any more.
@@ -441,10 +438,9 @@
     return;
   }
   const auto ledger = LedgerOf(database, aMessage.mWrite);
-  const bool mayRun = aMessage.mClaim
-                        ? ledger.mKind == LedgerKind::Tombstone &&
-                            ledger.mNonce == *aMessage.mClaim
-                        : ledger.mKind == LedgerKind::Missing;
+  const bool mayRun = aMessage.mClaim ? ledger.mKind == LedgerKind::Tombstone &&
+                                          ledger.mNonce == *aMessage.mClaim
+                                      : ledger.mKind == LedgerKind::Missing;
   LogPosition position;
   if (mayRun) {
     position = database.Append({ DoneEntry(aMessage.mWrite) });
@@ -487,9 +483,8 @@
   }
   write.mPosition = database.Report().mLast;
   Feed(aMessage.mWrite,
-       ResolutionRead{ ledger.mKind == LedgerKind::Done,
-                       ledger.mNonce,
-                       write.mPosition });
+       ResolutionRead{
+         ledger.mKind == LedgerKind::Done, ledger.mNonce, write.mPosition });
 }
 
 void
@@ -503,16 +498,15 @@
     return;
   }
   std::visit(
-    Overloaded{
-      [&](const papayaline::StartWrite& aIt) {
-        if (mRules.Has(Rule::Tombstone) || !aIt.mClaim) {
-          SendToPrimary(aWrite, aIt.mClaim);
-        } else {
-          Finish(aWrite, WriteVerdict::NotRun);
-        }
-      },
-      [&](const StartResolution&) { SendResolution(aWrite); },
-      [&](const FinishWrite& aIt) { Finish(aWrite, aIt.mVerdict); } },
+    Overloaded{ [&](const papayaline::StartWrite& aIt) {
+                 if (mRules.Has(Rule::Tombstone) || !aIt.mClaim) {
+                   SendToPrimary(aWrite, aIt.mClaim);
+                 } else {
+                   Finish(aWrite, WriteVerdict::NotRun);
+                 }
+               },
+                [&](const StartResolution&) { SendResolution(aWrite); },
+                [&](const FinishWrite& aIt) { Finish(aWrite, aIt.mVerdict); } },
     *action);
 }
 
@@ -523,8 +517,7 @@
   if (aVerdict == WriteVerdict::NotRun) {
     ++mCoverage.mNotRun;
   }
-  if (aVerdict == WriteVerdict::Done ||
-      aVerdict == WriteVerdict::DoneEarlier) {
+  if (aVerdict == WriteVerdict::Done || aVerdict == WriteVerdict::DoneEarlier) {
     ++mCoverage.mAcknowledged;
     mAcknowledged.insert(aWrite);
     CheckPrimaries();
@@ -723,8 +716,8 @@
   }
   for (size_t it = 0; it < mWrites.size(); ++it) {
     const auto entry = DoneEntry(it);
-    const auto n = std::ranges::count_if(
-      aPrimary.Log(), [&](const auto& aEntry) {
+    const auto n =
+      std::ranges::count_if(aPrimary.Log(), [&](const auto& aEntry) {
         return std::ranges::count(aEntry.mStatements, entry) > 0;
       });
     if (n > 1) {
--- a/Tests/Exploration/main.cpp
+++ b/Tests/Exploration/main.cpp
@@ -25,11 +25,16 @@
 )";
 
 constexpr std::array kRuleNames = {
-  "majority to acknowledge",      "majority to promote",
-  "fence",                        "most advanced log",
-  "last entry's term in token",   "current term in evidence",
-  "majority for frontier",        "clean replica read",
-  "tombstone",                    "attempt id",
+  "majority to acknowledge",
+  "majority to promote",
+  "fence",
+  "most advanced log",
+  "last entry's term in token",
+  "current term in evidence",
+  "majority for frontier",
+  "clean replica read",
+  "tombstone",
+  "attempt id",
 };
 static_assert(kRuleNames.size() == static_cast<size_t>(Rule::Count));
 
--- a/Tests/FaultMatrix/Cell.cpp
+++ b/Tests/FaultMatrix/Cell.cpp
@@ -268,8 +268,8 @@
 FaultNames()
 {
   static const std::vector<std::string> sNames = {
-    "kill",        "freeze",     "cut",             "drop-one-way", "slow",
-    "lost-answer", "wrong-list", "platform-outage",
+    "kill", "freeze",      "cut",        "drop-one-way",
+    "slow", "lost-answer", "wrong-list", "platform-outage",
   };
   return sNames;
 }
--- a/Tests/LibHistory/Checker.cpp
+++ b/Tests/LibHistory/Checker.cpp
@@ -64,8 +64,8 @@
     for (const auto& it : aHistory.mTicks) {
       if (it.mAcknowledgedUs <= oldest && it.mNumber > read.mSeenTick) {
         aViolations.push_back("a read showed tick " +
-                              std::to_string(read.mSeenTick) +
-                              " when tick " + std::to_string(it.mNumber) +
+                              std::to_string(read.mSeenTick) + " when tick " +
+                              std::to_string(it.mNumber) +
                               " was older than the allowed age");
         break;
       }
--- a/Tests/LibHistory/Workload.cpp
+++ b/Tests/LibHistory/Workload.cpp
@@ -17,8 +17,7 @@
 NowUs()
 {
   using namespace std::chrono;
-  return duration_cast<microseconds>(
-           steady_clock::now().time_since_epoch())
+  return duration_cast<microseconds>(steady_clock::now().time_since_epoch())
     .count();
 }
 
@@ -110,8 +109,7 @@
   const auto id = std::to_string(aBooking.mId);
   const auto insert = "INSERT INTO visits VALUES (" + id + ", " +
                       std::to_string(aBooking.mWorker) + ")";
-  auto set =
-    aCaller.Run("SET papayaline.request_id = 'booking-" + id + "'");
+  auto set = aCaller.Run("SET papayaline.request_id = 'booking-" + id + "'");
   if (!set.mIsOk || !aIsTransaction) {
     return set.mIsOk ? aCaller.Run(insert) : set;
   }
@@ -190,9 +188,9 @@
   auto& caller = aConnections.To(SomeInstance(aRandom));
   read.mStartedUs = NowUs();
   const auto marker = std::to_string(aRandom() % 1'000'000);
-  const auto result = caller.Run("SELECT id, '" + marker +
-                                 "' FROM visits WHERE worker = " +
-                                 std::to_string(aWorker));
+  const auto result =
+    caller.Run("SELECT id, '" + marker +
+               "' FROM visits WHERE worker = " + std::to_string(aWorker));
   if (!result.mIsOk) {
     return;
   }
@@ -259,9 +257,13 @@
     return mHistory;
   }
   auto direct = mCluster.ConnectDirect(primary);
-  const auto rows =
-    direct.Run("SELECT id, count(*) FROM visits GROUP BY id").mRows;
-  for (const auto& it : rows) {
+  const auto result = direct.Run("SELECT id, count(*) FROM visits GROUP BY id");
+  if (!result.mIsOk) {
+    mHistory.mWrongAnswers.push_back("the final state can't be read: " +
+                                     direct.ErrorText());
+    return mHistory;
+  }
+  for (const auto& it : result.mRows) {
     mHistory.mFinal[std::stoll(it[0])] = std::stoi(it[1]);
   }
   return mHistory;
