StandIns: Forget a replication stream when its connection ends

Cause: failover/drop-one-way failed now and then: both remaining databases were gone. The stand-in kept a pointer to a stream whose session had been deleted and crashed at the next commit. Ruled out: the failover machine, which kept finding no majority because there was none.

--- a/Tests/StandIns/Database/DatabaseServer.cpp
+++ b/Tests/StandIns/Database/DatabaseServer.cpp
@@ -31,7 +31,12 @@
   Rebuild();
 }
 
-DatabaseServer::~DatabaseServer() = default;
+DatabaseServer::~DatabaseServer()
+{
+  // Sessions refer to the members below, so they end first.
+  const auto sessions = findChildren<QObject*>(Qt::FindDirectChildrenOnly);
+  qDeleteAll(sessions);
+}
 
 std::unique_ptr<SqlEngine>
 DatabaseServer::OpenEngine() const
--- a/Tests/StandIns/Database/DatabaseServer.h
+++ b/Tests/StandIns/Database/DatabaseServer.h
@@ -57,6 +57,7 @@
   bool RefusesWrites() const;
 
   void AddStream(ReplicationSender* aStream) { mStreams.insert(aStream); }
+  void RemoveStream(ReplicationSender* aStream) { mStreams.erase(aStream); }
   void RemoveSession(DatabaseSession* aSession);
   size_t SessionCount() const { return mSessions.size(); }
 
--- a/Tests/StandIns/Database/Replication.cpp
+++ b/Tests/StandIns/Database/Replication.cpp
@@ -60,6 +60,11 @@
     this, [this] { OnReadyRead(); }, Qt::QueuedConnection);
 }
 
+ReplicationSender::~ReplicationSender()
+{
+  mServer.RemoveStream(this);
+}
+
 void
 ReplicationSender::SendLine(const QJsonObject& aLine)
 {
--- a/Tests/StandIns/Database/Replication.h
+++ b/Tests/StandIns/Database/Replication.h
@@ -18,6 +18,7 @@
 {
 public:
   ReplicationSender(DatabaseServer& aServer, QTcpSocket* aSocket);
+  ~ReplicationSender() override;
 
   void SendNew();
   void Close();
