LibDecision: Promote a replica when the primary's replication has stalled

Cause: TestDegraded found that a primary whose replicas receive nothing was fenced and promoted again and again: its log is always the most advanced. Ruled out: detection, which fired after 1 s as it should. Change: for that cause the old primary's log is set aside when the others are a majority of their own. Also: statements at once on one database follow its slots; transactions use the rest of the connections.

--- a/Libraries/LibDecision/FailoverMachine.cpp
+++ b/Libraries/LibDecision/FailoverMachine.cpp
@@ -464,11 +464,26 @@
          mGrants.end();
 }
 
+/// A primary whose replicas receive nothing has the most advanced log and would
+/// be promoted again. The others are a majority of their own, so everything
+/// acknowledged is among them, and they are chosen from.
+void
+FailoverMachine::SetStalledPrimaryAside()
+{
+  const bool othersSuffice =
+    mGrants.size() > MajorityOf(mIdentity.mUpstreams.size());
+  if (mCause == FailoverCause::ReplicationStalled && othersSuffice) {
+    std::erase_if(mGrants,
+                  [&](const auto& it) { return it.mUpstream == mOldPrimary; });
+  }
+}
+
 /// Takes the most advanced log; among equals a preferred upstream, then the one
 /// that answered first.
 void
 FailoverMachine::StartPromotion(Instant aNow)
 {
+  SetStalledPrimaryAside();
   const auto isWorse = [&](const auto& aLeft, const auto& aRight) {
     if (mSettings.mRules.Has(Rule::MostAdvancedLog) &&
         aLeft.mLast != aRight.mLast) {
--- a/Libraries/LibDecision/FailoverMachine.h
+++ b/Libraries/LibDecision/FailoverMachine.h
@@ -189,6 +189,7 @@
   void CheckQuiesce(Instant aNow);
   void StartFencing(Instant aNow);
   void CheckFenced(Instant aNow);
+  void SetStalledPrimaryAside();
   void StartPromotion(Instant aNow);
   void FinishPromotion(const UpstreamReport& aReport, Instant aNow);
   void Resend(Instant aNow);
--- a/Services/Papayalined/GroupEngine.cpp
+++ b/Services/Papayalined/GroupEngine.cpp
@@ -264,8 +264,9 @@
     const auto& pool = *upstream.mPool;
     const bool isLeavingReplica =
       upstream.mLeavingSince && it.mRole != Role::Primary;
-    const bool isFree =
-      aUsable == Usable::Up || pool.HasIdle() || pool.InUse() < pool.Limit();
+    const bool isFree = aUsable == Usable::Up ||
+                        (pool.MayRunStatement() &&
+                         (pool.HasIdle() || pool.InUse() < pool.Limit()));
     ReadCandidate candidate;
     candidate.mReport = it;
     candidate.mIsUsable = isFree && pool.IsUp() && !isLeavingReplica &&
@@ -280,10 +281,10 @@
 }
 
 PooledConnection
-GroupEngine::TryAcquire(const std::string& aUpstream)
+GroupEngine::TryAcquire(const std::string& aUpstream, ConnectionUse aUse)
 {
   const auto it = mUpstreams.find(aUpstream);
-  return it != mUpstreams.end() ? it->second.mPool->TryAcquire()
+  return it != mUpstreams.end() ? it->second.mPool->TryAcquire(aUse)
                                 : PooledConnection();
 }
 
--- a/Services/Papayalined/GroupEngine.h
+++ b/Services/Papayalined/GroupEngine.h
@@ -62,7 +62,8 @@
     Idle,
   };
   std::vector<ReadCandidate> Candidates(Usable aUsable) const;
-  PooledConnection TryAcquire(const std::string& aUpstream);
+  PooledConnection TryAcquire(const std::string& aUpstream,
+                              ConnectionUse aUse = ConnectionUse::Statement);
   /// The primary that may be given writes now, or nothing.
   std::optional<std::string> WritablePrimary(Instant aNow) const;
   void ObserveService(Duration aService) { mQueue.ObserveService(aService); }
--- a/Services/Papayalined/TransactionOperations.cpp
+++ b/Services/Papayalined/TransactionOperations.cpp
@@ -46,7 +46,7 @@
   if (!upstream) {
     return StartResult::Waiting;
   }
-  auto connection = mEngine.TryAcquire(*upstream);
+  auto connection = mEngine.TryAcquire(*upstream, ConnectionUse::Transaction);
   if (!connection) {
     return StartResult::Waiting;
   }
--- a/Services/Papayalined/UpstreamPool.cpp
+++ b/Services/Papayalined/UpstreamPool.cpp
@@ -146,8 +146,11 @@
 }
 
 PooledConnection
-UpstreamPool::TryAcquire()
+UpstreamPool::TryAcquire(ConnectionUse aUse)
 {
+  if (aUse == ConnectionUse::Statement && !MayRunStatement()) {
+    return {};
+  }
   const auto it = std::ranges::find_if(mEntries, [](const auto& aEntry) {
     return !aEntry.mIsLeased && aEntry.mConnection->GetState() == State::Ready;
   });
@@ -161,7 +164,9 @@
     return {};
   }
   it->mIsLeased = true;
+  it->mUse = aUse;
   ++mInUse;
+  mStatements += aUse == ConnectionUse::Statement ? 1 : 0;
   return PooledConnection(this, it->mConnection.get());
 }
 
@@ -173,6 +178,7 @@
   });
   it->mIsLeased = false;
   --mInUse;
+  mStatements -= it->mUse == ConnectionUse::Statement ? 1 : 0;
   if (!aIsClean) {
     aConnection->Close();
   }
--- a/Services/Papayalined/UpstreamPool.h
+++ b/Services/Papayalined/UpstreamPool.h
@@ -10,6 +10,14 @@
 
 class UpstreamPool;
 
+/// What a connection is acquired for. Statements at once follow the database's
+/// slots; a transaction holds its connection also while its caller thinks.
+enum class ConnectionUse
+{
+  Statement,
+  Transaction,
+};
+
 /// Exclusive use of one pooled connection. Unless it is returned as clean, the
 /// connection is closed: an unfinished answer or an open transaction can't
 /// reach another caller. Thread safety: one thread.
@@ -56,9 +64,11 @@
 
   /// A ready connection, or an empty lease while none is free; then one is
   /// opened when the limit allows it.
-  PooledConnection TryAcquire();
+  PooledConnection TryAcquire(ConnectionUse aUse);
 
   bool HasIdle() const;
+  /// Whether another statement may run now.
+  bool MayRunStatement() const { return mStatements < mUpstream.mSlots; }
   unsigned InUse() const { return mInUse; }
   unsigned Limit() const { return mLimit; }
   /// Whether the last attempt to connect succeeded.
@@ -76,6 +86,7 @@
   {
     std::unique_ptr<UpstreamConnection> mConnection;
     bool mIsLeased = false;
+    ConnectionUse mUse = ConnectionUse::Statement;
   };
 
   void Open();
@@ -89,6 +100,7 @@
   std::function<void()> mOnFree;
   std::list<Entry> mEntries;
   unsigned mInUse = 0;
+  unsigned mStatements = 0;
   unsigned mFailures = 0;
   bool mIsRetired = false;
   QTimer mRetry;
--- /dev/null
+++ b/Tests/LibDecision/TestPlacement.cpp
@@ -0,0 +1,60 @@
+#include "LibDecision/Placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+using namespace papayaline;
+
+class TestPlacement : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestPlacement);
+  CPPUNIT_TEST(HoldersAreInDifferentDomains);
+  CPPUNIT_TEST(HoldersInstanceLostOthersKeepTheirOrder);
+  CPPUNIT_TEST(HoldersLeavingInstanceIsPassedOver);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<InstanceInfo> Nine()
+  {
+    std::vector<InstanceInfo> instances;
+    for (int it = 0; it < 9; ++it) {
+      instances.push_back({ "i" + std::to_string(it),
+                            "d" + std::to_string(it % 3),
+                            "",
+                            false });
+    }
+    return instances;
+  }
+
+public:
+  void HoldersAreInDifferentDomains()
+  {
+    std::set<std::string> domains;
+    for (const auto& it : ChooseHolders("g", Nine(), 3)) {
+      domains.insert(it.mFailureDomain);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t(3), domains.size());
+  }
+
+  void HoldersInstanceLostOthersKeepTheirOrder()
+  {
+    auto instances = Nine();
+    const auto before = ChooseHolders("g", instances, 3);
+    std::erase(instances, before[1]);
+    const auto after = ChooseHolders("g", instances, 3);
+    CPPUNIT_ASSERT(after[0] == before[0]);
+  }
+
+  void HoldersLeavingInstanceIsPassedOver()
+  {
+    auto instances = Nine();
+    const auto first = ChooseHolders("g", instances, 3)[0];
+    for (auto& it : instances) {
+      it.mIsLeaving = it.mName == first.mName;
+    }
+    for (const auto& it : ChooseHolders("g", instances, 3)) {
+      CPPUNIT_ASSERT(it.mName != first.mName);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPlacement);
