Tests: Add the load tool

Cause: no measure had a command. share, gap, overhead and control print baseline and present side by side; requests keep to a schedule, so a stall is seen.

--- a/Tests/Integration/TestAuthentication.cpp
+++ b/Tests/Integration/TestAuthentication.cpp
@@ -43,9 +43,19 @@
     const auto key = sKeys.filePath("key.pem");
     const auto certificate = sKeys.filePath("certificate.pem");
     QProcess::execute("openssl",
-                      { "req", "-x509", "-newkey", "rsa:2048", "-nodes",
-                        "-subj", "/CN=localhost", "-days", "2", "-keyout",
-                        key, "-out", certificate });
+                      { "req",
+                        "-x509",
+                        "-newkey",
+                        "rsa:2048",
+                        "-nodes",
+                        "-subj",
+                        "/CN=localhost",
+                        "-days",
+                        "2",
+                        "-keyout",
+                        key,
+                        "-out",
+                        certificate });
     ClusterOptions options;
     options.mInstances = 1;
     options.mExtraSettings =
--- a/Tests/Integration/TestBadInput.cpp
+++ b/Tests/Integration/TestBadInput.cpp
@@ -29,8 +29,8 @@
 
   static QByteArray Startup()
   {
-    const auto body = Length(196608) +
-                      QByteArray("user\0agents\0database\0bookings\0\0", 31);
+    const auto body =
+      Length(196608) + QByteArray("user\0agents\0database\0bookings\0\0", 31);
     return Length(static_cast<quint32>(body.size()) + 4) + body;
   }
 
@@ -55,9 +55,8 @@
 
   static void AssertOthersUnhurt()
   {
-    CPPUNIT_ASSERT_EQUAL(
-      std::string("1"),
-      sCluster->Connect(0).Run("SELECT 1").Cell());
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         sCluster->Connect(0).Run("SELECT 1").Cell());
   }
 
 public:
--- a/Tests/Integration/TestDegraded.cpp
+++ b/Tests/Integration/TestDegraded.cpp
@@ -54,8 +54,7 @@
                          visitor.Run("SELECT id FROM t").Cell());
     QThread::msleep(2500);
     const auto refused = agent.Run("INSERT INTO t VALUES (2)");
-    CPPUNIT_ASSERT(refused.mMessage.find("was not run") !=
-                   std::string::npos);
+    CPPUNIT_ASSERT(refused.mMessage.find("was not run") != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(std::string("57P03"),
                          visitor.Run("SELECT id FROM t").mSqlState);
     CPPUNIT_ASSERT(mCluster->Primary().empty());
@@ -70,9 +69,8 @@
     workload.Start(4);
     QThread::msleep(4000);
     const auto violations = CheckHistory(workload.Finish());
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(violations.empty() ? "" : violations[0],
-                                 size_t(0),
-                                 violations.size());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      violations.empty() ? "" : violations[0], size_t(0), violations.size());
     CPPUNIT_ASSERT(workload.Acknowledged() > 100);
   }
 
--- a/Tests/Integration/TestLeaving.cpp
+++ b/Tests/Integration/TestLeaving.cpp
@@ -23,9 +23,8 @@
   void AssertHistoryIsRight()
   {
     const auto violations = CheckHistory(mWorkload->Finish());
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(violations.empty() ? "" : violations[0],
-                                 size_t(0),
-                                 violations.size());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      violations.empty() ? "" : violations[0], size_t(0), violations.size());
   }
 
 public:
--- a/Tests/Integration/TestOperator.cpp
+++ b/Tests/Integration/TestOperator.cpp
@@ -29,8 +29,7 @@
     auto text = mCluster->OperatorFile();
     const std::string key = "queue_limit: ";
     const auto at = text.find(key);
-    text.replace(
-      at, text.find('\n', at) - at, key + std::to_string(aLimit));
+    text.replace(at, text.find('\n', at) - at, key + std::to_string(aLimit));
     return mCluster->WriteFile(QString("limit-%1.yaml").arg(aLimit), text);
   }
 
@@ -48,8 +47,8 @@
 
   void FileBadNamesLineAndChangesNothing()
   {
-    const auto file = mCluster->WriteFile(
-      "bad.yaml", "name: groups\n  groups: wrong\n");
+    const auto file =
+      mCluster->WriteFile("bad.yaml", "name: groups\n  groups: wrong\n");
     const auto [code, output] = mCluster->Operator({ "apply", file });
     CPPUNIT_ASSERT_EQUAL(2, code);
     CPPUNIT_ASSERT(output.contains("bad.yaml:2:"));
--- a/Tests/Integration/TestOverload.cpp
+++ b/Tests/Integration/TestOverload.cpp
@@ -29,8 +29,7 @@
                        "timeout: 400ms}\n";
     Cluster cluster(options);
     CPPUNIT_ASSERT(cluster.Start());
-    CPPUNIT_ASSERT(
-      cluster.Connect(0).Run("CREATE TABLE t (id INTEGER)").mIsOk);
+    CPPUNIT_ASSERT(cluster.Connect(0).Run("CREATE TABLE t (id INTEGER)").mIsOk);
     std::atomic<bool> isStopping{ false };
     std::atomic<int> done{ 0 };
     std::atomic<int> notRun{ 0 };
@@ -41,8 +40,8 @@
       threads.emplace_back([&, it] {
         auto caller = cluster.Connect(it % 2);
         while (!isStopping) {
-          const auto result = caller.Run("INSERT INTO t VALUES (" +
-                                         std::to_string(++id) + ")");
+          const auto result =
+            caller.Run("INSERT INTO t VALUES (" + std::to_string(++id) + ")");
           const bool isRefused =
             result.mMessage.find("was not run") != std::string::npos;
           ++(result.mIsOk ? done : isRefused ? notRun : unknown);
@@ -57,8 +56,7 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(done), done > 50);
     CPPUNIT_ASSERT(notRun > 0);
     auto direct = cluster.ConnectDirect(cluster.Primary());
-    const auto present =
-      std::stoi(direct.Run("SELECT count(*) FROM t").Cell());
+    const auto present = std::stoi(direct.Run("SELECT count(*) FROM t").Cell());
     CPPUNIT_ASSERT(present >= done);
     CPPUNIT_ASSERT(present <= done + unknown);
   }
--- a/Tests/Integration/TestSessions.cpp
+++ b/Tests/Integration/TestSessions.cpp
@@ -60,15 +60,14 @@
     PQclear(PQprepare(
       handle, "by_id", "SELECT name FROM b WHERE id = $1", 0, nullptr));
     const char* values[] = { "7" };
-    auto* prepared = PQexecPrepared(
-      handle, "by_id", 1, values, nullptr, nullptr, 0);
+    auto* prepared =
+      PQexecPrepared(handle, "by_id", 1, values, nullptr, nullptr, 0);
     CPPUNIT_ASSERT_EQUAL(std::string("seven"),
                          std::string(PQgetvalue(prepared, 0, 0)));
     PQclear(prepared);
     CPPUNIT_ASSERT(PQenterPipelineMode(handle));
     for (int it = 0; it < 3; ++it) {
-      PQsendQueryPrepared(
-        handle, "by_id", 1, values, nullptr, nullptr, 0);
+      PQsendQueryPrepared(handle, "by_id", 1, values, nullptr, nullptr, 0);
     }
     PQpipelineSync(handle);
     for (int it = 0; it < 3; ++it) {
@@ -114,8 +113,7 @@
     for (int it = 0; it < 3; ++it) {
       auto again = Connect(it);
       again.Run("SET papayaline.request_id = 'visit-1'");
-      const auto result =
-        again.Run("INSERT INTO d VALUES (5) RETURNING id");
+      const auto result = again.Run("INSERT INTO d VALUES (5) RETURNING id");
       CPPUNIT_ASSERT_EQUAL(std::string("5"), result.Cell());
     }
     CPPUNIT_ASSERT_EQUAL(std::string("1"),
@@ -130,9 +128,10 @@
   void ErrorsCarryTheirSqlState()
   {
     auto caller = Connect(0);
-    for (const auto* it :
-         { "COPY x FROM STDIN", "LISTEN x", "SELECT 1; SELECT 2",
-           "SET search_path = x" }) {
+    for (const auto* it : { "COPY x FROM STDIN",
+                            "LISTEN x",
+                            "SELECT 1; SELECT 2",
+                            "SET search_path = x" }) {
       CPPUNIT_ASSERT_EQUAL(std::string("0A000"), caller.Run(it).mSqlState);
     }
     CPPUNIT_ASSERT_EQUAL(std::string("42P01"),
--- a/Tests/LibCluster/Cluster.h
+++ b/Tests/LibCluster/Cluster.h
@@ -73,6 +73,8 @@
   QJsonObject PlatformCounts() const;
 
   QJsonObject Status(int aInstance) const;
+  /// Whether every instance sees a healthy primary and followers in each group.
+  bool IsReady() const;
   /// The primary of a group as an instance sees it; empty without a healthy
   /// one.
   std::string Primary(const std::string& aGroup = "bookings",
@@ -120,8 +122,6 @@
   quint16 AddLink(const QString& aName, quint16 aTarget) const;
   QString LogFile(const std::string& aName) const;
   std::string Settings(const InstanceEntry& aInstance) const;
-  bool IsReady() const;
-
   ClusterOptions mOptions;
   QTemporaryDir mDirectory;
   std::unique_ptr<ChildProcess> mPlatform;
--- a/Tests/LibConfiguration/TestOperatorFile.cpp
+++ b/Tests/LibConfiguration/TestOperatorFile.cpp
@@ -19,7 +19,8 @@
                           const std::string& aClass = "max_age: 2s",
                           const std::string& aThird = "b-3")
   {
-    std::string text = "name: shop\n" + aExtra + "groups:\n  - name: b\n"
+    std::string text = "name: shop\n" + aExtra +
+                       "groups:\n  - name: b\n"
                        "    upstreams:\n";
     for (const auto& it : { std::string("b-1"), std::string("b-2"), aThird }) {
       text += "      - {name: " + it +
@@ -74,8 +75,7 @@
   void TransitionTwoUpstreamsAtOnceIsRefused()
   {
     const auto from = ParseOperatorFile(File(), "f").Take();
-    const auto to =
-      ParseOperatorFile(File({}, "rank: 1", "b-4"), "f").Take();
+    const auto to = ParseOperatorFile(File({}, "rank: 1", "b-4"), "f").Take();
     CPPUNIT_ASSERT(CheckTransition(from, to).IsError());
     CPPUNIT_ASSERT(!CheckTransition(from, from).IsError());
   }
--- a/Tests/LibConfiguration/TestSettings.cpp
+++ b/Tests/LibConfiguration/TestSettings.cpp
@@ -12,8 +12,7 @@
   CPPUNIT_TEST(SettingsValidIsAccepted);
   CPPUNIT_TEST_SUITE_END();
 
-  static std::string Text(const std::string& aAddress,
-                          const std::string& aRest)
+  static std::string Text(const std::string& aAddress, const std::string& aRest)
   {
     return "instance: i\nfailure_domain: d\ncaller_address: " + aAddress +
            "\nhttp_address: 127.0.0.1:2\nplatform: 127.0.0.1:3\n"
--- a/Tests/LibDecision/TestFailoverMachine.cpp
+++ b/Tests/LibDecision/TestFailoverMachine.cpp
@@ -77,8 +77,8 @@
 
   FailoverActions Grant(const SendCommand& aCommand, LogPosition aLast)
   {
-    auto report = Report(
-      aCommand.mUpstream.c_str(), Role::Fenced, aLast, aCommand.mTerm);
+    auto report =
+      Report(aCommand.mUpstream.c_str(), Role::Fenced, aLast, aCommand.mTerm);
     report.mAttempt = aCommand.mAttempt;
     return mMachine->Handle(CommandAnswered{ aCommand.mUpstream,
                                              aCommand.mKind,
--- a/Tests/LibDecision/TestPlacement.cpp
+++ b/Tests/LibDecision/TestPlacement.cpp
@@ -17,10 +17,8 @@
   {
     std::vector<InstanceInfo> instances;
     for (int it = 0; it < 9; ++it) {
-      instances.push_back({ "i" + std::to_string(it),
-                            "d" + std::to_string(it % 3),
-                            "",
-                            false });
+      instances.push_back(
+        { "i" + std::to_string(it), "d" + std::to_string(it % 3), "", false });
     }
     return instances;
   }
--- a/Tests/LibDecision/TestReadPolicy.cpp
+++ b/Tests/LibDecision/TestReadPolicy.cpp
@@ -43,8 +43,8 @@
     const ReadSettings settings;
     auto choice = ChooseRead(need, candidates, {}, settings, kNow);
     CPPUNIT_ASSERT(choice.mVerdict == ReadVerdict::Wait);
-    choice = ChooseRead(
-      need, candidates, {}, settings, kNow + settings.mReplicaWait);
+    choice =
+      ChooseRead(need, candidates, {}, settings, kNow + settings.mReplicaWait);
     CPPUNIT_ASSERT(choice.mVerdict == ReadVerdict::UsePrimary);
   }
 
@@ -54,8 +54,7 @@
     frontiers.Record({ { 1, 5 }, kNow - 3s });
     const std::vector candidates = { Candidate("r", Role::Replica, 5) };
     const ReadNeed need{ std::nullopt, 2s, kNow };
-    const auto choice =
-      ChooseRead(need, candidates, frontiers, {}, kNow + 1s);
+    const auto choice = ChooseRead(need, candidates, frontiers, {}, kNow + 1s);
     CPPUNIT_ASSERT(choice.mVerdict == ReadVerdict::Wait);
   }
 
@@ -95,8 +94,8 @@
     frontiers.Record({ { 1, 9 }, kNow });
     frontiers.Record({ { 1, 5 }, kNow + 1s });
     CPPUNIT_ASSERT_EQUAL(size_t(1), frontiers.All().size());
-    CPPUNIT_ASSERT((frontiers.AtOrAfter(kNow)->mPosition ==
-                    LogPosition{ 1, 5 }));
+    CPPUNIT_ASSERT(
+      (frontiers.AtOrAfter(kNow)->mPosition == LogPosition{ 1, 5 }));
   }
 };
 
--- a/Tests/LibDecision/TestWriteMachine.cpp
+++ b/Tests/LibDecision/TestWriteMachine.cpp
@@ -15,8 +15,7 @@
   CPPUNIT_TEST(DeadlineBeforeCommitIsNotRun);
   CPPUNIT_TEST_SUITE_END();
 
-  static std::vector<UpstreamReport> Majority(uint64_t aTerm,
-                                              LogPosition aLast)
+  static std::vector<UpstreamReport> Majority(uint64_t aTerm, LogPosition aLast)
   {
     UpstreamReport primary;
     primary.mUpstream = "p";
--- /dev/null
+++ b/Tests/Load/main.cpp
@@ -0,0 +1,87 @@
+#include "Measures.h"
+
+#include <QCoreApplication>
+#include <QFile>
+#include <QJsonDocument>
+#include <docopt.h>
+
+namespace {
+
+using namespace papayaline;
+
+constexpr const char kUsage[] =
+  R"(Measures the system on stand-ins; baseline and present side by side.
+
+Usage:
+  papayaline-load share    [--profile=NAME] [--rate=N] [--sessions=N]
+                           [--seconds=N] [--json=FILE]
+  papayaline-load gap      [--failures=N] [--json=FILE]
+  papayaline-load overhead [--seconds=N] [--json=FILE]
+  papayaline-load control  [--seconds=N] [--json=FILE]
+
+Options:
+  --profile=NAME   "jingshui" or "coastline" [default: jingshui].
+  --rate=N         Requests a second over all sessions [default: 600].
+  --sessions=N     Sessions that move between instances [default: 24].
+  --seconds=N      Length of each measurement [default: 8].
+  --failures=N     Failures of each kind [default: 5].
+  --json=FILE      Write the results to this file as well.
+)";
+
+}
+
+namespace papayaline {
+
+ClusterOptions
+ProfileOptions(const std::string& aProfile)
+{
+  ClusterOptions shape;
+  shape.mInstances = 9;
+  shape.mConnectMs = 10;
+  if (aProfile == "coastline") {
+    shape.mGroups = { "bookings", "entries", "plots" };
+    shape.mDomains = { "perth-a", "bunbury-b", "busselton-c" };
+    shape.mSlots = 2;
+    shape.mConnections = 35;
+    shape.mLagMs = 20;
+  } else {
+    shape.mGroups = { "bookings", "reminders", "visits" };
+    shape.mSlots = 3;
+    shape.mConnections = 20;
+    shape.mLagMs = 50;
+  }
+  return shape;
+}
+
+}
+
+int
+main(int argc, char* argv[])
+{
+  QCoreApplication application(argc, argv);
+  auto arguments = docopt::docopt(kUsage, { argv + 1, argv + argc });
+  QJsonObject report;
+  LoadOptions options;
+  options.mProfile = arguments["--profile"].asString();
+  options.mRate = static_cast<int>(arguments["--rate"].asLong());
+  options.mSessions = static_cast<int>(arguments["--sessions"].asLong());
+  options.mSeconds = static_cast<int>(arguments["--seconds"].asLong());
+  options.mFailures = static_cast<int>(arguments["--failures"].asLong());
+  options.mReport = &report;
+  int result = 1;
+  if (arguments["share"].asBool()) {
+    result = MeasureShare(options);
+  } else if (arguments["gap"].asBool()) {
+    result = MeasureGap(options);
+  } else if (arguments["overhead"].asBool()) {
+    result = MeasureOverhead(options);
+  } else {
+    result = MeasureControl(options);
+  }
+  if (arguments["--json"]) {
+    QFile file(QString::fromStdString(arguments["--json"].asString()));
+    file.open(QIODevice::WriteOnly | QIODevice::Truncate);
+    file.write(QJsonDocument(report).toJson());
+  }
+  return result;
+}
--- a/Tests/TestMain.cpp
+++ b/Tests/TestMain.cpp
@@ -7,7 +7,6 @@
 {
   QCoreApplication application(argc, argv);
   CppUnit::TextUi::TestRunner runner;
-  runner.addTest(
-    CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
   return runner.run() ? 0 : 1;
 }
