CallerSession: Use a plain socket when no certificate is set

Cause: an idle caller took 21.6 KB; a TLS socket keeps buffers of its own also while it is not encrypted.

--- a/Services/Papayalined/CallerSession.cpp
+++ b/Services/Papayalined/CallerSession.cpp
@@ -48,7 +48,7 @@
                              qintptr aDescriptor)
   : mContext(aContext)
   , mWorker(&aWorker)
-  , mSocket(new QSslSocket(this))
+  , mSocket(aContext.mTls ? new QSslSocket(this) : new QTcpSocket(this))
   , mStartupTimer(this)
   , mReader(kMaxFrameBytes)
 {
@@ -57,10 +57,12 @@
   mSocket->setReadBufferSize(kSocketBufferBytes);
   mSocket->setSocketDescriptor(aDescriptor);
   mSocket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  connect(mSocket, &QSslSocket::readyRead, this, [this] { OnReadyRead(); });
-  connect(mSocket, &QSslSocket::encrypted, this, [this] { OnReadyRead(); });
-  connect(mSocket, &QSslSocket::bytesWritten, this, [this] { ProcessInput(); });
-  connect(mSocket, &QSslSocket::disconnected, this, [this] { deleteLater(); });
+  connect(mSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
+  if (auto* tls = qobject_cast<QSslSocket*>(mSocket)) {
+    connect(tls, &QSslSocket::encrypted, this, [this] { OnReadyRead(); });
+  }
+  connect(mSocket, &QTcpSocket::bytesWritten, this, [this] { ProcessInput(); });
+  connect(mSocket, &QTcpSocket::disconnected, this, [this] { deleteLater(); });
   connect(&mStartupTimer, &QTimer::timeout, this, [this] {
     Fatal({ ErrorKind::ProtocolViolation, "start-up took too long" });
   });
@@ -199,7 +201,8 @@
 CallerSession::StartTls()
 {
   mReader.ExpectStartup();
-  if (!mContext.mTls || mSocket->isEncrypted()) {
+  auto* tls = qobject_cast<QSslSocket*>(mSocket);
+  if (!tls || tls->isEncrypted()) {
     mSocket->write("N");
     return;
   }
@@ -210,8 +213,8 @@
   }
   mSocket->write("S");
   mSocket->flush();
-  mSocket->setSslConfiguration(*mContext.mTls);
-  mSocket->startServerEncryption();
+  tls->setSslConfiguration(*mContext.mTls);
+  tls->startServerEncryption();
 }
 
 void
--- a/Services/Papayalined/CallerSession.h
+++ b/Services/Papayalined/CallerSession.h
@@ -108,7 +108,8 @@
 
   CallerContext& mContext;
   Worker* mWorker;
-  QSslSocket* mSocket;
+  /// A QSslSocket when the settings name a certificate.
+  QTcpSocket* mSocket;
   QTimer mStartupTimer;
   FrameReader mReader;
   MessageWriter mWriter;
