Tests: Catch an older configuration and a drain that cuts off a request

Change: a peer pushes version 1 after version 2; a write that takes longer than the notice is in flight while callers are let go.

--- a/Tests/Integration/TestLeaving.cpp
+++ b/Tests/Integration/TestLeaving.cpp
@@ -3,6 +3,7 @@
 
 #include <QThread>
 #include <cppunit/extensions/HelperMacros.h>
+#include <future>
 
 using namespace papayaline;
 
@@ -12,6 +13,7 @@
   CPPUNIT_TEST(UpstreamLeavingPrimaryIsReplacedWithoutFailedWrite);
   CPPUNIT_TEST(SwitchoverOnRequestFailsNoWrite);
   CPPUNIT_TEST(InstancesAllReplacedUnderLoadNothingIsLost);
+  CPPUNIT_TEST(InstanceDrainsRequestInFlightGetsItsAnswer);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kInstances = 3;
@@ -81,6 +83,24 @@
     AssertHistoryIsRight();
   }
 
+  /// The write takes longer than the notice, so it is in flight when callers are
+  /// let go.
+  void InstanceDrainsRequestInFlightGetsItsAnswer()
+  {
+    mWorkload->Stop();
+    mCluster->SetDatabaseOption(mCluster->Primary(), "statement_ms", 400);
+    auto caller = mCluster->Connect(0);
+    auto answer = std::async(std::launch::async, [&] {
+      return caller.Run("INSERT INTO visits VALUES (1000000, 0)");
+    });
+    QThread::msleep(100);
+    mCluster->Instance(0).Terminate();
+    const auto result = answer.get();
+    CPPUNIT_ASSERT_MESSAGE(result.mMessage, result.mIsOk);
+    CPPUNIT_ASSERT_EQUAL(0, mCluster->Instance(0).WaitForExit(20'000));
+    CPPUNIT_ASSERT(!caller.Run("SELECT 1").mIsOk);
+  }
+
   void InstancesAllReplacedUnderLoadNothingIsLost()
   {
     for (int it = 0; it < kInstances; ++it) {
--- a/Tests/Integration/TestOperator.cpp
+++ b/Tests/Integration/TestOperator.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(ApplyOutageIsUnreachableAndChangesNothing);
   CPPUNIT_TEST(InstanceStartedInOutageLearnsFromNeighbours);
   CPPUNIT_TEST(PlatformStaleReadNeverGoesBack);
+  CPPUNIT_TEST(PeerPushesOlderVersionIsRefused);
   CPPUNIT_TEST(StatusAndTimelineShowTheFailover);
   CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +138,21 @@
     }
   }
 
+  void PeerPushesOlderVersionIsRefused()
+  {
+    auto old = mCluster->Http(0, "/v1/peer/state?version=0").mJson;
+    CPPUNIT_ASSERT_EQUAL(qint64(1), old["version"].toInteger());
+    CPPUNIT_ASSERT_EQUAL(
+      0,
+      mCluster->Operator({ "apply", FileWithLimit(307), "--wait" }).first);
+    const auto before = Version(1);
+    old["origin"] = "entry-1";
+    const auto answer =
+      HttpPost(mCluster->HttpUrl(1, "/v1/peer/configuration"), old);
+    CPPUNIT_ASSERT_EQUAL(before, answer.mJson["version"].toInteger());
+    CPPUNIT_ASSERT_EQUAL(before, Version(1));
+  }
+
   void StatusAndTimelineShowTheFailover()
   {
     mCluster->Database(mCluster->Primary()).Kill();
