--- a/Services/Papayalined/CallerSession.cpp
+++ b/Services/Papayalined/CallerSession.cpp
@@ -75,7 +75,7 @@
   Metrics::Instance().Add(Counter::CallerConnections, -1);
   mWorker->Forget(this);
   if (mTransaction && mState != State::Busy) {
-    mTransaction->LeaveOpen();
+    mTransaction->Rollback([](const Answer&) {});
   }
 }
 
