Tests: Count at the database that a leaving upstream gets nothing

Cause: the promise about leaving upstreams was proved by the switchover alone. Change: the stand-in counts statements; under load the count of a leaving replica stands still from 3 s after the file was applied.

--- a/Tests/Integration/TestLeaving.cpp
+++ b/Tests/Integration/TestLeaving.cpp
@@ -11,6 +11,7 @@
 {
   CPPUNIT_TEST_SUITE(TestLeaving);
   CPPUNIT_TEST(UpstreamLeavingPrimaryIsReplacedWithoutFailedWrite);
+  CPPUNIT_TEST(UpstreamLeavingGetsNothingAfterThreeSeconds);
   CPPUNIT_TEST(SwitchoverOnRequestFailsNoWrite);
   CPPUNIT_TEST(InstancesAllReplacedUnderLoadNothingIsLost);
   CPPUNIT_TEST(InstanceDrainsRequestInFlightGetsItsAnswer);
@@ -66,6 +67,29 @@
     AssertHistoryIsRight();
   }
 
+  void UpstreamLeavingGetsNothingAfterThreeSeconds()
+  {
+    const auto leaving = mCluster->Replicas().front();
+    const auto served = [&] {
+      return std::stoll(mCluster->ConnectDirect(leaving)
+                          .Run("SELECT * FROM papayaline_standin_served()")
+                          .Cell());
+    };
+    const auto before = served();
+    const auto isUsed = [&] { return served() > before; };
+    CPPUNIT_ASSERT(Cluster::WaitFor(isUsed, 5000));
+    mCluster->SetLeavingUpstream(leaving);
+    const auto file =
+      mCluster->WriteFile("leaving.yaml", mCluster->OperatorFile());
+    CPPUNIT_ASSERT_EQUAL(0, mCluster->Operator({ "apply", file }).first);
+    QThread::msleep(3000);
+    const auto after = served();
+    QThread::msleep(1500);
+    CPPUNIT_ASSERT_EQUAL(after, served());
+    CPPUNIT_ASSERT_EQUAL(0, mWorkload->Unknown());
+    AssertHistoryIsRight();
+  }
+
   void SwitchoverOnRequestFailsNoWrite()
   {
     const auto before = mCluster->Primary();
--- a/Tests/StandIns/Database/DatabaseServer.cpp
+++ b/Tests/StandIns/Database/DatabaseServer.cpp
@@ -81,6 +81,7 @@
   mSlotQueue.push_back(
     [this, owner = QPointer(aOwner), work = std::move(aWork)] {
       ++mBusySlots;
+      ++mStatementsServed;
       const auto finish = [this, owner, work] {
         --mBusySlots;
         if (owner) {
@@ -212,6 +213,13 @@
   if (aName == "status") {
     return StatusResult(true);
   }
+  if (aName == "standin_served") {
+    SqlResult result;
+    result.mColumns = { Column{ "served" } };
+    result.mRows = { { QByteArray::number(quint64(mStatementsServed)) } };
+    result.mTag = "SELECT 1";
+    return result;
+  }
   if (aName == "standin_set") {
     SetOption(argument(0), argument(1).toInt());
     return StatusResult(true);
--- a/Tests/StandIns/Database/DatabaseServer.h
+++ b/Tests/StandIns/Database/DatabaseServer.h
@@ -82,6 +82,7 @@
   ReplicationReceiver mReceiver;
   unsigned mBusySlots = 0;
   std::deque<std::function<void()>> mSlotQueue;
+  uint64_t mStatementsServed = 0;
   DatabaseSession* mWriter = nullptr;
   std::deque<std::pair<DatabaseSession*, std::function<void()>>> mWriterQueue;
   QElapsedTimer mClock;
