CallerTransaction: Begin again at the next primary while nothing has run

The likely cause, read from the code and not traced: a transaction whose first statement meets a quiesced primary was refused as lost. Ruled out: single writes, which wait for the next primary. Change: a transaction refused before any of its statements succeeded begins again where the primary is. SQLSTATEs of databases live in UpstreamDialect.

--- a/Libraries/LibUpstream/UpstreamDialect.cpp
+++ b/Libraries/LibUpstream/UpstreamDialect.cpp
@@ -124,6 +124,24 @@
   return Field(aResult, "granted") == "t";
 }
 
+bool
+UpstreamDialect::IsNotPrimary(const StatementResult& aResult)
+{
+  return aResult.mSqlState == "25006" || aResult.mSqlState == "57P03";
+}
+
+bool
+UpstreamDialect::IsUniqueViolation(const StatementResult& aResult)
+{
+  return aResult.mSqlState == "23505";
+}
+
+bool
+UpstreamDialect::IsUndefinedTable(const StatementResult& aResult)
+{
+  return aResult.mSqlState == "42P01";
+}
+
 UpstreamStatement
 UpstreamDialect::LastCommit() const
 {
--- a/Libraries/LibUpstream/UpstreamDialect.h
+++ b/Libraries/LibUpstream/UpstreamDialect.h
@@ -42,6 +42,10 @@
                                      const StatementResult& aResult,
                                      Instant aAskedAt) const;
   static bool IsGranted(const StatementResult& aResult);
+  /// The database is no longer the primary, or is about to hand over.
+  static bool IsNotPrimary(const StatementResult& aResult);
+  static bool IsUniqueViolation(const StatementResult& aResult);
+  static bool IsUndefinedTable(const StatementResult& aResult);
 
   UpstreamStatement LastCommit() const;
   Result<LogPosition> ParsePosition(const StatementResult& aResult) const;
--- a/Services/Papayalined/CallerTransaction.cpp
+++ b/Services/Papayalined/CallerTransaction.cpp
@@ -115,9 +115,10 @@
   if (aBatch.mResults.size() > kLedgerIndex) {
     const auto& ledger = aBatch.mResults[kLedgerIndex];
     const bool isTaken =
-      ledger.mSqlState == "23505" || (aIsClaim && ledger.mRowCount == 0);
+      UpstreamDialect::IsUniqueViolation(ledger) ||
+      (aIsClaim && !ledger.IsError() && ledger.mRowCount == 0);
     const auto self = shared_from_this();
-    if (ledger.mSqlState == "42P01") {
+    if (UpstreamDialect::IsUndefinedTable(ledger)) {
       mConnection.Run({ PlainStatement("ROLLBACK"),
                         UpstreamDialect::Default().CreateLedger() },
                       [=, this](const BatchResult& aIt) {
@@ -131,6 +132,10 @@
       ResolveRequestId(aRequest, aHandler);
       return;
     }
+    if (UpstreamDialect::IsNotPrimary(ledger)) {
+      StartAgain(aRequest, aHandler);
+      return;
+    }
     if (ledger.IsError()) {
       FailLost(aHandler);
       return;
@@ -172,6 +177,23 @@
   });
 }
 
+/// Nothing of the transaction was kept, so it may begin at the next primary.
+void
+CallerTransaction::StartAgain(const Request& aRequest, AnswerHandler aHandler)
+{
+  mHasBegun = false;
+  mConnection.Discard();
+  mEngine.RequestEvidence();
+  Run(aRequest, std::move(aHandler));
+}
+
+bool
+CallerTransaction::MayStartAgain(const StatementResult& aResult) const
+{
+  return !mHasRun && mAccess == TransactionAccess::ReadWrite &&
+         UpstreamDialect::IsNotPrimary(aResult);
+}
+
 void
 CallerTransaction::FailLost(const AnswerHandler& aHandler)
 {
@@ -186,14 +208,19 @@
 {
   const auto self = shared_from_this();
   mConnection.Run({ aRequest.mStatement },
-                  [self, this, aHandler](const BatchResult& aBatch) {
+                  [=, this](const BatchResult& aBatch) {
                     const auto keep = self;
                     if (aBatch.mIsLost) {
                       FailLost(aHandler);
                       return;
                     }
                     const auto& result = aBatch.mResults.front();
+                    if (MayStartAgain(result)) {
+                      StartAgain(aRequest, aHandler);
+                      return;
+                    }
                     mHasFailed = result.IsError();
+                    mHasRun = mHasRun || !mHasFailed;
                     aHandler(AnswerOf(result));
                   });
 }
--- a/Services/Papayalined/CallerTransaction.h
+++ b/Services/Papayalined/CallerTransaction.h
@@ -53,6 +53,8 @@
                bool aIsClaim);
   void ResolveRequestId(const Request& aRequest, AnswerHandler aHandler);
   void RunStatement(const Request& aRequest, AnswerHandler aHandler);
+  void StartAgain(const Request& aRequest, AnswerHandler aHandler);
+  bool MayStartAgain(const StatementResult& aResult) const;
   void FailLost(const AnswerHandler& aHandler);
 
   GroupEngine& mEngine;
@@ -62,6 +64,8 @@
   PooledConnection mConnection;
   std::string mUpstream;
   bool mHasBegun = false;
+  /// A statement has succeeded, so the transaction can't move any more.
+  bool mHasRun = false;
   bool mHasFailed = false;
 };
 
--- a/Services/Papayalined/WriteOperation.cpp
+++ b/Services/Papayalined/WriteOperation.cpp
@@ -16,25 +16,6 @@
 constexpr size_t kResolutionRowIndex = 2;
 constexpr size_t kResolutionStatusIndex = 4;
 
-/// The database is no longer the primary, or is about to hand over.
-bool
-IsNotPrimary(const StatementResult& aResult)
-{
-  return aResult.mSqlState == "25006" || aResult.mSqlState == "57P03";
-}
-
-bool
-IsUniqueViolation(const StatementResult& aResult)
-{
-  return aResult.mSqlState == "23505";
-}
-
-bool
-IsUndefinedTable(const StatementResult& aResult)
-{
-  return aResult.mSqlState == "42P01";
-}
-
 }
 
 std::vector<UpstreamStatement>
@@ -168,9 +149,9 @@
 void
 WriteOperation::OnLedgerRefused(const StatementResult& aResult)
 {
-  if (IsUndefinedTable(aResult)) {
+  if (UpstreamDialect::IsUndefinedTable(aResult)) {
     CreateLedger();
-  } else if (IsUniqueViolation(aResult)) {
+  } else if (UpstreamDialect::IsUniqueViolation(aResult)) {
     RollBack([this] { Feed(RequestIdTaken{}); });
   } else {
     OnStatementRefused(aResult);
@@ -180,7 +161,7 @@
 void
 WriteOperation::OnStatementRefused(const StatementResult& aResult)
 {
-  if (IsNotPrimary(aResult)) {
+  if (UpstreamDialect::IsNotPrimary(aResult)) {
     RollBack([this] { Feed(WriteRolledBack{}); });
     return;
   }
@@ -264,7 +245,8 @@
   const auto resolution = ParseResolution(mUpstream, aBatch);
   if (resolution.IsError()) {
     const bool needsLedger =
-      !aBatch.mIsLost && !IsFinished() && IsUndefinedTable(aBatch.mResults[1]);
+      !aBatch.mIsLost && !IsFinished() &&
+      UpstreamDialect::IsUndefinedTable(aBatch.mResults[1]);
     if (needsLedger) {
       const auto self = shared_from_this();
       mConnection.Run({ PlainStatement("ROLLBACK"),
--- a/Tests/Integration/TestLeaving.cpp
+++ b/Tests/Integration/TestLeaving.cpp
@@ -107,8 +107,8 @@
     AssertHistoryIsRight();
   }
 
-  /// The write takes longer than the notice, so it is in flight when callers are
-  /// let go.
+  /// The write takes longer than the notice, so it is in flight when callers
+  /// are let go.
   void InstanceDrainsRequestInFlightGetsItsAnswer()
   {
     mWorkload->Stop();
--- a/Tests/Integration/TestOperator.cpp
+++ b/Tests/Integration/TestOperator.cpp
@@ -143,8 +143,7 @@
     auto old = mCluster->Http(0, "/v1/peer/state?version=0").mJson;
     CPPUNIT_ASSERT_EQUAL(qint64(1), old["version"].toInteger());
     CPPUNIT_ASSERT_EQUAL(
-      0,
-      mCluster->Operator({ "apply", FileWithLimit(307), "--wait" }).first);
+      0, mCluster->Operator({ "apply", FileWithLimit(307), "--wait" }).first);
     const auto before = Version(1);
     old["origin"] = "entry-1";
     const auto answer =
