TransactionOperations: Create the ledger when a commit finds none

Cause: the first write of a group, when it was a transaction, failed for want of the ledger table; its resolution failed for the same reason until the deadline, and the caller was told 08007. Found by reading; TransactionFirstWriteOfGroup shows it: failed with outcome-unknown before, passes after. Change: a resolution that lacks the ledger creates it and goes on. Also one piece of code each for recent reports, for a connection to the primary and for creating the ledger, which stood twice.

--- a/Libraries/LibDecision/Quorum.cpp
+++ b/Libraries/LibDecision/Quorum.cpp
@@ -33,17 +33,24 @@
   return static_cast<size_t>(std::ranges::count_if(aReports, holds)) >= needed;
 }
 
-std::optional<Frontier>
-ConfirmFrontier(std::span<const UpstreamReport> aReports,
-                size_t aGroupSize,
-                Instant aNotBefore,
-                RuleSet aRules)
+std::vector<UpstreamReport>
+AskedSince(std::span<const UpstreamReport> aReports, Instant aNotBefore)
 {
   std::vector<UpstreamReport> fresh;
   std::ranges::copy_if(
     aReports, std::back_inserter(fresh), [&](const auto& it) {
       return it.mAskedAt >= aNotBefore;
     });
+  return fresh;
+}
+
+std::optional<Frontier>
+ConfirmFrontier(std::span<const UpstreamReport> aReports,
+                size_t aGroupSize,
+                Instant aNotBefore,
+                RuleSet aRules)
+{
+  auto fresh = AskedSince(aReports, aNotBefore);
   if (fresh.empty()) {
     return std::nullopt;
   }
--- a/Libraries/LibDecision/Quorum.h
+++ b/Libraries/LibDecision/Quorum.h
@@ -34,6 +34,10 @@
                LogPosition aWritten,
                RuleSet aRules = RuleSet::All());
 
+/// The reports that were asked for at or after aNotBefore.
+std::vector<UpstreamReport>
+AskedSince(std::span<const UpstreamReport> aReports, Instant aNotBefore);
+
 /// A position that includes every write acknowledged before mBegan.
 struct Frontier
 {
--- a/Libraries/LibDecision/ReadPolicy.cpp
+++ b/Libraries/LibDecision/ReadPolicy.cpp
@@ -153,12 +153,8 @@
                    Instant aNotBefore,
                    RuleSet aRules)
 {
-  std::vector<UpstreamReport> fresh;
-  std::ranges::copy_if(
-    aReports, std::back_inserter(fresh), [&](const auto& it) {
-      return it.mAskedAt >= aNotBefore;
-    });
-  return IsAcknowledged(fresh, aGroupSize, aSeen, aRules);
+  return IsAcknowledged(
+    AskedSince(aReports, aNotBefore), aGroupSize, aSeen, aRules);
 }
 
 }
--- a/Services/Papayalined/CallerTransaction.cpp
+++ b/Services/Papayalined/CallerTransaction.cpp
@@ -119,13 +119,11 @@
       (aIsClaim && !ledger.IsError() && ledger.mRowCount == 0);
     const auto self = shared_from_this();
     if (UpstreamDialect::IsUndefinedTable(ledger)) {
-      mConnection.Run({ PlainStatement("ROLLBACK"),
-                        UpstreamDialect::Default().CreateLedger() },
-                      [=, this](const BatchResult& aIt) {
-                        const auto keep = self;
-                        aIt.mIsLost ? FailLost(aHandler)
-                                    : Begin(aRequest, aHandler, std::nullopt);
-                      });
+      mConnection.Run(LedgerCreationBatch(), [=, this](const BatchResult& aIt) {
+        const auto keep = self;
+        aIt.mIsLost ? FailLost(aHandler)
+                    : Begin(aRequest, aHandler, std::nullopt);
+      });
       return;
     }
     if (isTaken) {
--- a/Services/Papayalined/GroupEngine.cpp
+++ b/Services/Papayalined/GroupEngine.cpp
@@ -306,6 +306,20 @@
   return primary->mUpstream;
 }
 
+std::optional<GroupEngine::PrimaryConnection>
+GroupEngine::TryAcquirePrimary(Instant aNow)
+{
+  const auto primary = WritablePrimary(aNow);
+  if (!primary) {
+    return std::nullopt;
+  }
+  auto connection = TryAcquire(*primary);
+  if (!connection) {
+    return std::nullopt;
+  }
+  return PrimaryConnection{ std::move(connection), *primary };
+}
+
 QByteArray
 GroupEngine::NextRequestId()
 {
--- a/Services/Papayalined/GroupEngine.h
+++ b/Services/Papayalined/GroupEngine.h
@@ -64,6 +64,13 @@
   std::vector<ReadCandidate> Candidates(Usable aUsable) const;
   PooledConnection TryAcquire(const std::string& aUpstream,
                               ConnectionUse aUse = ConnectionUse::Statement);
+  /// A connection to the primary, when it may be given writes and one is free.
+  struct PrimaryConnection
+  {
+    PooledConnection mConnection;
+    std::string mUpstream;
+  };
+  std::optional<PrimaryConnection> TryAcquirePrimary(Instant aNow);
   /// The primary that may be given writes now, or nothing.
   std::optional<std::string> WritablePrimary(Instant aNow) const;
   void ObserveService(Duration aService) { mQueue.ObserveService(aService); }
--- a/Services/Papayalined/TransactionOperations.cpp
+++ b/Services/Papayalined/TransactionOperations.cpp
@@ -120,16 +120,13 @@
 StartResult
 TransactionCommit::TryStart(Instant aNow)
 {
-  const auto primary = mEngine.WritablePrimary(aNow);
+  auto primary = mEngine.TryAcquirePrimary(aNow);
   if (!primary) {
     return StartResult::Waiting;
   }
-  mConnection = mEngine.TryAcquire(*primary);
-  if (!mConnection) {
-    return StartResult::Waiting;
-  }
   mIsQueued = false;
-  mUpstream = *primary;
+  mConnection = std::move(primary->mConnection);
+  mUpstream = primary->mUpstream;
   const auto self = shared_from_this();
   auto batch = ResolutionBatch(mRequest.mRequestId, mEngine.NextRequestId());
   mConnection.Run(batch, [this, self](const BatchResult& aBatch) {
@@ -142,6 +139,14 @@
 TransactionCommit::OnResolutionAnswer(const BatchResult& aBatch)
 {
   const auto resolution = ParseResolution(mUpstream, aBatch);
+  if (resolution.IsError() && LacksLedger(aBatch) && !IsFinished()) {
+    const auto self = shared_from_this();
+    mConnection.Run(LedgerCreationBatch(), [this, self](const BatchResult&) {
+      mConnection.Discard();
+      Feed(ResolutionLost{});
+    });
+    return;
+  }
   if (resolution.IsError()) {
     mConnection.Discard();
     Feed(ResolutionLost{});
--- a/Services/Papayalined/WriteOperation.cpp
+++ b/Services/Papayalined/WriteOperation.cpp
@@ -29,6 +29,20 @@
            dialect.Status() };
 }
 
+std::vector<UpstreamStatement>
+LedgerCreationBatch()
+{
+  return { PlainStatement("ROLLBACK"),
+           UpstreamDialect::Default().CreateLedger() };
+}
+
+bool
+LacksLedger(const BatchResult& aBatch)
+{
+  return !aBatch.mIsLost &&
+         UpstreamDialect::IsUndefinedTable(aBatch.mResults[kLedgerIndex]);
+}
+
 Result<Resolution>
 ParseResolution(const std::string& aUpstream, const BatchResult& aBatch)
 {
@@ -60,16 +74,13 @@
 StartResult
 WriteOperation::TryStart(Instant aNow)
 {
-  const auto primary = mEngine.WritablePrimary(aNow);
+  auto primary = mEngine.TryAcquirePrimary(aNow);
   if (!primary) {
     return StartResult::Waiting;
   }
-  mConnection = mEngine.TryAcquire(*primary);
-  if (!mConnection) {
-    return StartResult::Waiting;
-  }
   mIsQueued = false;
-  mUpstream = *primary;
+  mConnection = std::move(primary->mConnection);
+  mUpstream = primary->mUpstream;
   mStartedAt = aNow;
   if (mStep == Step::Write) {
     RunWrite();
@@ -185,8 +196,7 @@
 {
   const auto self = shared_from_this();
   mConnection.Run(
-    { PlainStatement("ROLLBACK"), UpstreamDialect::Default().CreateLedger() },
-    [this, self](const BatchResult& aBatch) {
+    LedgerCreationBatch(), [this, self](const BatchResult& aBatch) {
       aBatch.mIsLost ? mConnection.Discard() : mConnection.ReturnClean();
       Feed(WriteRolledBack{});
     });
@@ -244,17 +254,12 @@
 {
   const auto resolution = ParseResolution(mUpstream, aBatch);
   if (resolution.IsError()) {
-    const bool needsLedger =
-      !aBatch.mIsLost && !IsFinished() &&
-      UpstreamDialect::IsUndefinedTable(aBatch.mResults[1]);
-    if (needsLedger) {
+    if (LacksLedger(aBatch) && !IsFinished()) {
       const auto self = shared_from_this();
-      mConnection.Run({ PlainStatement("ROLLBACK"),
-                        UpstreamDialect::Default().CreateLedger() },
-                      [this, self](const BatchResult&) {
-                        mConnection.Discard();
-                        Feed(ResolutionLost{});
-                      });
+      mConnection.Run(LedgerCreationBatch(), [this, self](const BatchResult&) {
+        mConnection.Discard();
+        Feed(ResolutionLost{});
+      });
       return;
     }
     mConnection.Discard();
--- a/Services/Papayalined/WriteOperation.h
+++ b/Services/Papayalined/WriteOperation.h
@@ -18,6 +18,12 @@
 /// Statements that resolve a request id in one batch.
 std::vector<UpstreamStatement>
 ResolutionBatch(const QByteArray& aRequestId, const QByteArray& aNonce);
+/// Ends a transaction that failed for want of the ledger and creates it.
+std::vector<UpstreamStatement>
+LedgerCreationBatch();
+/// Whether a resolution failed because the ledger does not exist yet.
+bool
+LacksLedger(const BatchResult& aBatch);
 /// Reads the answer of ResolutionBatch. Errors: UpstreamLost when the database
 /// was not the primary or refused.
 Result<Resolution>
--- a/Tests/Integration/TestSessions.cpp
+++ b/Tests/Integration/TestSessions.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(BookingOtherInstanceIsReadByTokenAndByClass);
   CPPUNIT_TEST(ParametersPreparedAndPipelineWork);
   CPPUNIT_TEST(TransactionCommitsWholeOrNotAtAll);
+  CPPUNIT_TEST(TransactionFirstWriteOfGroupIsSettled);
   CPPUNIT_TEST(RequestIdRepeatedElsewhereRunsOnce);
   CPPUNIT_TEST(ErrorsCarryTheirSqlState);
   CPPUNIT_TEST(AnswerLargerThanBuffersArrivesWhole);
@@ -29,6 +30,7 @@
     if (!sCluster) {
       ClusterOptions options;
       options.mLagMs = 30;
+      options.mGroups = { "bookings", "fresh" };
       sCluster = std::make_unique<Cluster>(options);
       CPPUNIT_ASSERT(sCluster->Start());
     }
@@ -106,6 +108,25 @@
                          Connect(2).Run("SELECT count(*) FROM c").Cell());
   }
 
+  /// The group has no ledger yet: the first try may be refused as not run, but
+  /// its outcome must be known, and the second must commit.
+  void TransactionFirstWriteOfGroupIsSettled()
+  {
+    auto caller = sCluster->Connect(0, "fresh");
+    const auto run = [&] {
+      caller.Run("BEGIN");
+      caller.Run("CREATE TABLE first (id INTEGER)");
+      return caller.Run("COMMIT");
+    };
+    const auto first = run();
+    const bool isNotRun =
+      first.mMessage.find("was not run") != std::string::npos;
+    CPPUNIT_ASSERT_MESSAGE(first.mMessage, first.mIsOk || isNotRun);
+    if (isNotRun) {
+      CPPUNIT_ASSERT_EQUAL(std::string("COMMIT"), run().mTag);
+    }
+  }
+
   void RequestIdRepeatedElsewhereRunsOnce()
   {
     auto caller = Connect(0);
