--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -4,7 +4,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Meta/build.sh
-red=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
+red=
+if [ -f KNOWN-RED.txt ]; then
+  red=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
+fi
 if [ -n "$red" ]; then
   ctest --test-dir build -R "^($red)\$" --output-on-failure || true
   echo "known red, see KNOWN-RED.txt: $red"
