--- a/Tests/Integration/TestDegraded.cpp
+++ b/Tests/Integration/TestDegraded.cpp
@@ -70,10 +70,11 @@
     CPPUNIT_ASSERT(workload.Prepare());
     workload.Start(4);
     QThread::msleep(4000);
+    const auto worksOn = [&] { return workload.Acknowledged() > 100; };
+    CPPUNIT_ASSERT(Cluster::WaitFor(worksOn, 60'000));
     const auto violations = CheckHistory(workload.Finish());
     CPPUNIT_ASSERT_EQUAL_MESSAGE(
       violations.empty() ? "" : violations[0], size_t(0), violations.size());
-    CPPUNIT_ASSERT(workload.Acknowledged() > 100);
   }
 
   void PlatformDownFailoverStillHappens()
