SpreadController: Build the configuration message in one place

Cause: the message to a child and the one to a peer that is behind were built twice, field by field. Ruled out for now: one base for WriteOperation and TransactionCommit, which drive the same machine in the same way; it touches the write path and would want the whole fault matrix again.

--- a/Services/Papayalined/CallerSession.cpp
+++ b/Services/Papayalined/CallerSession.cpp
@@ -57,9 +57,9 @@
   mSocket->setReadBufferSize(kSocketBufferBytes);
   mSocket->setSocketDescriptor(aDescriptor);
   mSocket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  connect(mSocket, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
+  connect(mSocket, &QTcpSocket::readyRead, this, [this] { ProcessInput(); });
   if (auto* tls = qobject_cast<QSslSocket*>(mSocket)) {
-    connect(tls, &QSslSocket::encrypted, this, [this] { OnReadyRead(); });
+    connect(tls, &QSslSocket::encrypted, this, [this] { ProcessInput(); });
   }
   connect(mSocket, &QTcpSocket::bytesWritten, this, [this] { ProcessInput(); });
   connect(mSocket, &QTcpSocket::disconnected, this, [this] { deleteLater(); });
@@ -79,12 +79,6 @@
   }
 }
 
-void
-CallerSession::OnReadyRead()
-{
-  ProcessInput();
-}
-
 void
 CallerSession::ProcessInput()
 {
--- a/Services/Papayalined/CallerSession.h
+++ b/Services/Papayalined/CallerSession.h
@@ -69,7 +69,6 @@
     bool mIsDescribed = false;
   };
 
-  void OnReadyRead();
   void ProcessInput();
   void HandleStartup(const QByteArray& aBody);
   void StartTls();
--- a/Services/Papayalined/SpreadController.cpp
+++ b/Services/Papayalined/SpreadController.cpp
@@ -202,6 +202,15 @@
   return peers;
 }
 
+QJsonObject
+SpreadController::ConfigurationMessage(const std::string& aOrigin) const
+{
+  const auto configuration = mBlackboard.GetConfiguration();
+  return { { "version", static_cast<qint64>(configuration->mVersion) },
+           { "origin", QString::fromStdString(aOrigin) },
+           { "spec", configuration->ToJson() } };
+}
+
 /// The tree over all instances has the origin at its root and the others in the
 /// rendezvous order of the version, so that each change loads other nodes.
 void
@@ -217,10 +226,7 @@
   });
   const auto at = static_cast<size_t>(
     std::ranges::find(order, self, &InstanceInfo::mName) - order.begin());
-  const QJsonObject message{ { "version",
-                               static_cast<qint64>(configuration->mVersion) },
-                             { "origin", QString::fromStdString(aOrigin) },
-                             { "spec", configuration->ToJson() } };
+  const auto message = ConfigurationMessage(aOrigin);
   for (size_t it = at * kFanOut + 1;
        it <= at * kFanOut + kFanOut && it < order.size();
        ++it) {
@@ -338,11 +344,8 @@
   }
   const auto mine = mBlackboard.GetConfiguration()->mVersion;
   if (aAnswer["version"].toInteger() < mine) {
-    const QJsonObject message{
-      { "version", static_cast<qint64>(mine) },
-      { "origin", QString::fromStdString(mBlackboard.GetSettings().mInstance) },
-      { "spec", mBlackboard.GetConfiguration()->ToJson() }
-    };
+    const auto message =
+      ConfigurationMessage(mBlackboard.GetSettings().mInstance);
     mPeers.Post(aAddress,
                 "/v1/peer/configuration",
                 message,
--- a/Services/Papayalined/SpreadController.h
+++ b/Services/Papayalined/SpreadController.h
@@ -43,6 +43,7 @@
   void Offer(const QJsonObject& aSpec,
              int64_t aVersion,
              const std::string& aOrigin);
+  QJsonObject ConfigurationMessage(const std::string& aOrigin) const;
   void PushToChildren(const std::string& aOrigin);
   void CompareWithPeer();
   void Merge(const std::string& aAddress, const QJsonObject& aAnswer);
--- a/Tests/LibCluster/Cluster.cpp
+++ b/Tests/LibCluster/Cluster.cpp
@@ -406,12 +406,6 @@
   return QString::fromStdString(Local(mPlatformPort));
 }
 
-QString
-Cluster::FaultUrl(const QString& aPath) const
-{
-  return Url(mFaultProxyPort, aPath);
-}
-
 bool
 Cluster::WaitFor(const std::function<bool()>& aCondition, int aTimeoutMs)
 {
--- a/Tests/LibCluster/Cluster.h
+++ b/Tests/LibCluster/Cluster.h
@@ -88,7 +88,6 @@
   quint16 CallerPort(int aInstance) const;
   QString HttpUrl(int aInstance, const QString& aPath) const;
   QString PlatformAddress() const;
-  QString FaultUrl(const QString& aPath) const;
 
   /// The operator file of the present shape.
   std::string OperatorFile() const;
