--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -27,6 +27,14 @@
   Conflict,
   NotFound,
   Unreachable,
+  /// The database does not lead its group.
+  NotPrimary,
+  /// Another database answered at this address.
+  WrongUpstream,
+  ConnectionLimit,
+  /// The database ran the statement and it failed.
+  StatementFailed,
+  StatementTimeout,
   Internal,
 };
 
--- /dev/null
+++ b/Libraries/LibCore/StructuredLog.cpp
@@ -0,0 +1,115 @@
+#include "LibCore/StructuredLog.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <array>
+#include <chrono>
+#include <mutex>
+#include <spdlog/async.h>
+#include <spdlog/async_logger.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+namespace papayaline {
+
+namespace {
+
+/// Lines that wait for the writing thread; the oldest are overwritten.
+constexpr size_t kQueuedLines = 1024;
+
+struct Bucket
+{
+  double mTokens = StructuredLog::kBurst;
+  std::chrono::steady_clock::time_point mFilledAt =
+    std::chrono::steady_clock::now();
+  uint64_t mDropped = 0;
+
+  bool TryTake()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> elapsed = now - mFilledAt;
+    mFilledAt = now;
+    mTokens = std::min(
+      StructuredLog::kBurst,
+      mTokens + elapsed.count() * StructuredLog::kLinesPerSecond);
+    if (mTokens < 1) {
+      ++mDropped;
+      return false;
+    }
+    mTokens -= 1;
+    return true;
+  }
+};
+
+}
+
+struct StructuredLog::State
+{
+  std::mutex mMutex;
+  QString mInstance;
+  std::array<Bucket, 2> mBuckets;
+  std::shared_ptr<spdlog::details::thread_pool> mThread =
+    std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1);
+  std::shared_ptr<spdlog::async_logger> mLogger =
+    std::make_shared<spdlog::async_logger>(
+      "decisions",
+      std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+      mThread,
+      spdlog::async_overflow_policy::overrun_oldest);
+};
+
+StructuredLog&
+StructuredLog::Instance()
+{
+  static StructuredLog sLog;
+  return sLog;
+}
+
+StructuredLog::StructuredLog()
+  : mState(new State)
+{
+  mState->mLogger->set_pattern("%v");
+  mState->mLogger->flush_on(spdlog::level::info);
+}
+
+StructuredLog::~StructuredLog()
+{
+  delete mState;
+}
+
+void
+StructuredLog::SetInstanceName(const std::string& aName)
+{
+  const std::lock_guard lock(mState->mMutex);
+  mState->mInstance = QString::fromStdString(aName);
+}
+
+void
+StructuredLog::Write(LogPriority aPriority,
+                     const std::string& aEvent,
+                     const LogFields& aFields)
+{
+  QJsonObject line;
+  {
+    const std::lock_guard lock(mState->mMutex);
+    auto& bucket = mState->mBuckets[static_cast<size_t>(aPriority)];
+    if (!bucket.TryTake()) {
+      return;
+    }
+    line["instance"] = mState->mInstance;
+    if (bucket.mDropped > 0) {
+      line["droppedBefore"] =
+        static_cast<qint64>(std::exchange(bucket.mDropped, 0));
+    }
+  }
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  line["timeMs"] = static_cast<qint64>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  line["event"] = QString::fromStdString(aEvent);
+  for (const auto& [name, value] : aFields) {
+    line[QString::fromStdString(name)] = QString::fromStdString(value);
+  }
+  mState->mLogger->info(
+    QJsonDocument(line).toJson(QJsonDocument::Compact).toStdString());
+}
+
+}
--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -20,4 +20,12 @@
 ConnectionShare
 DivideConnections(unsigned aLimit, unsigned aReserve, unsigned aInstances);
 
+/// How many connections an instance that holds aOwn may hold to a database that
+/// reports aTotal of aLimit in use. Without a list of instances the database's
+/// own count is what keeps the sum within the limit: an instance takes a
+/// quarter of what is spare, and always one. The reserve is left to instances
+/// that start. Pure; any thread.
+unsigned
+ConnectionAllowance(unsigned aLimit, unsigned aTotal, unsigned aOwn);
+
 }
--- /dev/null
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -0,0 +1,115 @@
+#include "LibDecision/RelayRouting.h"
+
+#include <algorithm>
+
+namespace papayaline {
+
+namespace {
+
+/// The expected time until a database answers one more statement.
+Duration
+ExpectedTime(const RelayCandidate& aCandidate,
+             const RelayRoutingSettings& aSettings)
+{
+  const auto slots = std::max(aCandidate.mSlots, 1U);
+  const auto waiting = aCandidate.mInFlight / slots;
+  const auto penalty =
+    aCandidate.mIsSameDomain ? Duration{} : aSettings.mDomainPreference;
+  return aCandidate.mServiceTime * (1 + waiting) +
+         aCandidate.mServiceTime * (aCandidate.mInFlight % slots) / (2 * slots) +
+         penalty;
+}
+
+struct Best
+{
+  std::optional<size_t> mIndex;
+  Duration mExpected = Duration::max();
+
+  void Offer(size_t aIndex, Duration aExpected)
+  {
+    if (aExpected < mExpected) {
+      mIndex = aIndex;
+      mExpected = aExpected;
+    }
+  }
+};
+
+bool
+MayRead(const GroupView& aView, const std::string& aName, LogPosition aNeeded)
+{
+  const auto* status = aView.StatusOf(aName);
+  return status && status->mRole == Role::Replica &&
+         aView.AppliedOf(aName) >= aNeeded;
+}
+
+}
+
+std::optional<LogPosition>
+PositionForRead(const RelayNeed& aNeed,
+                const GroupView& aView,
+                const RelayRoutingSettings& aSettings)
+{
+  if (!aNeed.mMaxAge) {
+    return std::nullopt;
+  }
+  const auto oldest =
+    aNeed.mArrivedAt - (*aNeed.mMaxAge - aSettings.mAgeMargin);
+  const auto frontier = aView.Frontiers().AtOrAfter(oldest);
+  if (!frontier) {
+    return std::nullopt;
+  }
+  // A write of an earlier term that survived the change of primary is below
+  // every position of the new term; one that did not must not be waited for.
+  const bool isCurrent =
+    aNeed.mOwnWrite && aNeed.mOwnWrite->mTerm >= frontier->mPosition.mTerm;
+  return isCurrent ? std::max(*aNeed.mOwnWrite, frontier->mPosition)
+                   : frontier->mPosition;
+}
+
+RelayChoice
+ChooseUpstream(const RelayNeed& aNeed,
+               std::span<const RelayCandidate> aCandidates,
+               const GroupView& aView,
+               const RelayRoutingSettings& aSettings)
+{
+  const auto primary = aView.Primary();
+  const bool isPrimaryOnly = aNeed.mNeedsPrimary || !aNeed.mMaxAge;
+  const auto needed =
+    isPrimaryOnly ? std::nullopt : PositionForRead(aNeed, aView, aSettings);
+  Best best;
+  bool isAnyFull = false;
+  for (size_t it = 0; it < aCandidates.size(); ++it) {
+    const auto& candidate = aCandidates[it];
+    const bool isPrimary = primary && primary->mName == candidate.mName;
+    const bool fits =
+      isPrimary || (needed && MayRead(aView, candidate.mName, *needed));
+    if (!fits || candidate.mIsExcluded) {
+      continue;
+    }
+    if (!candidate.mIsAvailable) {
+      isAnyFull = true;
+      continue;
+    }
+    const auto preference = isPrimary && !isPrimaryOnly
+                              ? aSettings.mReplicaPreference
+                              : Duration{};
+    best.Offer(it, ExpectedTime(candidate, aSettings) + preference);
+  }
+  RelayChoice choice;
+  if (!isPrimaryOnly && !needed && primary) {
+    choice.mVerdict = RelayVerdict::WaitForEvidence;
+  } else if (best.mIndex) {
+    choice.mVerdict = RelayVerdict::Run;
+    choice.mIndex = *best.mIndex;
+    if (primary && aCandidates[*best.mIndex].mName == primary->mName) {
+      choice.mPrimary = primary;
+    } else {
+      choice.mAfter = needed;
+    }
+  } else if (isAnyFull) {
+    choice.mVerdict = RelayVerdict::WaitForConnection;
+  }
+  return choice;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -0,0 +1,215 @@
+#include "LibRelay/LinkPool.h"
+
+#include <algorithm>
+
+namespace papayaline {
+
+LinkPool::LinkPool(std::string aGroup,
+                   std::string aUpstream,
+                   AnswerObserver& aObserver,
+                   const ChannelOpener& aOpener,
+                   UpstreamLink::Clock aClock,
+                   std::function<void()> aOnChange)
+  : mGroup(std::move(aGroup))
+  , mUpstream(std::move(aUpstream))
+  , mObserver(aObserver)
+  , mOpener(aOpener)
+  , mClock(std::move(aClock))
+  , mOnChange(std::move(aOnChange))
+{
+}
+
+LinkPool::~LinkPool()
+{
+  for (const auto& it : mEntries) {
+    it.mLink->Drop();
+  }
+}
+
+unsigned
+LinkPool::InUse() const
+{
+  return static_cast<unsigned>(std::ranges::count_if(
+    mEntries, [](const auto& it) { return it.mIsLeased; }));
+}
+
+unsigned
+LinkPool::OpeningCount() const
+{
+  return static_cast<unsigned>(
+    std::ranges::count_if(mEntries, [](const auto& it) {
+      return it.mLink->GetState() == UpstreamLink::State::Opening;
+    }));
+}
+
+bool
+LinkPool::MayOpen(LinkUse aUse) const
+{
+  const auto limit = mLimit + (aUse == LinkUse::Control ? 1 : 0);
+  return !mIsRetired && mEntries.size() < limit && mClock() >= mRetryAt;
+}
+
+bool
+LinkPool::HasFree() const
+{
+  return std::ranges::any_of(mEntries, [](const auto& it) {
+    return !it.mIsLeased && it.mLink->IsClean();
+  });
+}
+
+LinkPointer
+LinkPool::Acquire(const SessionState& aSession, LinkUse aUse)
+{
+  Entry* best = nullptr;
+  size_t bestDistance = 0;
+  for (auto& it : mEntries) {
+    if (it.mIsLeased || !it.mLink->IsClean()) {
+      continue;
+    }
+    const auto distance = it.mLink->Contents().Distance(aSession);
+    if (!best || distance < bestDistance) {
+      best = &it;
+      bestDistance = distance;
+    }
+  }
+  if (best) {
+    best->mIsLeased = true;
+    return best->mLink;
+  }
+  if (OpeningCount() == 0 && MayOpen(aUse)) {
+    Open();
+  }
+  return nullptr;
+}
+
+void
+LinkPool::OpenFresh()
+{
+  if (OpeningCount() == 0 && MayOpen(LinkUse::Control)) {
+    Open();
+  }
+}
+
+void
+LinkPool::Open()
+{
+  const auto link = std::make_shared<UpstreamLink>(mUpstream, mObserver, mClock);
+  mEntries.push_back({ link, false });
+  const std::weak_ptr weak = link;
+  link->Open(mOpener, mGroup, [this, weak](const std::optional<Error>& aError) {
+    if (const auto opened = weak.lock()) {
+      OnState(opened, aError);
+    }
+  });
+}
+
+void
+LinkPool::OnState(const LinkPointer& aLink, const std::optional<Error>& aError)
+{
+  if (!aError) {
+    mFailure.reset();
+    mFailures = 0;
+  } else {
+    Remove(aLink);
+    mFailure = aError;
+    const auto delay = mSettings.mRetryDelay * (1 << std::min(mFailures, 3U));
+    mRetryAt = mClock() + std::min(delay, mSettings.mMaxRetryDelay);
+    ++mFailures;
+    if (mOnFailure) {
+      mOnFailure(*aError);
+    }
+  }
+  mOnChange();
+}
+
+LinkPool::Entry*
+LinkPool::Find(const LinkPointer& aLink)
+{
+  const auto it = std::ranges::find(mEntries, aLink, &Entry::mLink);
+  return it != mEntries.end() ? &*it : nullptr;
+}
+
+void
+LinkPool::Remove(const LinkPointer& aLink)
+{
+  std::erase_if(mEntries, [&](const auto& it) { return it.mLink == aLink; });
+}
+
+void
+LinkPool::Release(const LinkPointer& aLink)
+{
+  auto* entry = Find(aLink);
+  if (!entry) {
+    return;
+  }
+  entry->mIsLeased = false;
+  if (mIsRetired && aLink->IsClean()) {
+    Discard(aLink);
+    return;
+  }
+  if (aLink->IsReady() && aLink->Transaction() != TransactionState::None) {
+    UpstreamCommand rollback;
+    rollback.mForm = CommandForm::Rollback;
+    aLink->Run(rollback, [this](const StatementAnswer&) { mOnChange(); });
+    return;
+  }
+  mOnChange();
+}
+
+void
+LinkPool::Discard(const LinkPointer& aLink)
+{
+  aLink->Drop();
+  Remove(aLink);
+  mOnChange();
+}
+
+void
+LinkPool::Tick(Instant aNow)
+{
+  std::vector<LinkPointer> late;
+  for (const auto& it : mEntries) {
+    const auto& link = it.mLink;
+    const bool isOpening = link->GetState() == UpstreamLink::State::Opening;
+    const bool isStuck =
+      isOpening && aNow - link->WaitingSince() >= mSettings.mOpenTimeout;
+    const bool isSpare =
+      !it.mIsLeased && link->IsClean() &&
+      (mIsRetired || mEntries.size() > mSettings.mMinimum) &&
+      aNow - link->LastUsedAt() >= mSettings.mIdleTimeout;
+    const bool isUnanswered =
+      !it.mIsLeased && link->PendingCount() > 0 &&
+      aNow - link->WaitingSince() >= mSettings.mReleaseTimeout;
+    if (isStuck || isSpare || isUnanswered) {
+      late.push_back(link);
+    }
+  }
+  for (const auto& it : late) {
+    const bool isStuck = it->GetState() == UpstreamLink::State::Opening;
+    it->Drop();
+    if (isStuck) {
+      OnState(it, Error{ ErrorKind::Unreachable, "opening timed out" });
+    } else {
+      Remove(it);
+    }
+  }
+  if (mEntries.size() < mSettings.mMinimum && OpeningCount() == 0 &&
+      MayOpen(LinkUse::Statement)) {
+    Open();
+  }
+}
+
+void
+LinkPool::Retire()
+{
+  mIsRetired = true;
+  std::erase_if(mEntries, [](const auto& it) {
+    const bool isIdle = !it.mIsLeased;
+    if (isIdle) {
+      it.mLink->Drop();
+    }
+    return isIdle;
+  });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/LinkPool.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "LibRelay/UpstreamLink.h"
+
+namespace papayaline {
+
+struct LinkPoolSettings
+{
+  /// Above the time of a handshake, far below the silence that a failover
+  /// waits for.
+  Duration mOpenTimeout = std::chrono::milliseconds(600);
+  /// After a failed attempt; grows to the maximum while attempts fail.
+  Duration mRetryDelay = std::chrono::milliseconds(100);
+  Duration mMaxRetryDelay = std::chrono::milliseconds(800);
+  /// A connection over the minimum that idles longer is closed, so that other
+  /// instances may open one.
+  Duration mIdleTimeout = std::chrono::seconds(8);
+  /// Links that are opened ahead of need, within the limit.
+  unsigned mMinimum = 2;
+  /// A rollback that takes longer will not be answered.
+  Duration mReleaseTimeout = std::chrono::seconds(2);
+};
+
+/// What a connection is wanted for. Control may exceed the limit by one.
+enum class LinkUse
+{
+  Statement,
+  Control,
+};
+
+/// The connections of one instance to one database. Thread safety: one thread.
+class LinkPool
+{
+public:
+  LinkPool(std::string aGroup,
+           std::string aUpstream,
+           AnswerObserver& aObserver,
+           const ChannelOpener& aOpener,
+           UpstreamLink::Clock aClock,
+           std::function<void()> aOnChange);
+  ~LinkPool();
+
+  void SetLimit(unsigned aLimit) { mLimit = aLimit; }
+
+  /// Whether a link is free now.
+  bool HasFree() const;
+  /// The free link that fits aSession best, or nothing; then one is opened when
+  /// the limit allows it, and aOnChange reports that it is ready.
+  LinkPointer Acquire(const SessionState& aSession, LinkUse aUse);
+  /// Opens another link although some are free: one that went silent can't
+  /// tell whether the database lives.
+  void OpenFresh();
+  /// Takes a link back. One that is in a transaction is rolled back, one with
+  /// an answer under way is free once it came.
+  void Release(const LinkPointer& aLink);
+  /// Closes a link that is in use.
+  void Discard(const LinkPointer& aLink);
+
+  /// Keeps the minimum of links open, and drops what timed out.
+  void Tick(Instant aNow);
+  /// Closes idle links now and others when they are released.
+  void Retire();
+
+  unsigned InUse() const;
+  size_t Size() const { return mEntries.size(); }
+  /// Why the last attempt to open failed, while none has succeeded since.
+  const std::optional<Error>& Failure() const { return mFailure; }
+  std::function<void(const Error&)> mOnFailure;
+
+private:
+  struct Entry
+  {
+    LinkPointer mLink;
+    bool mIsLeased = false;
+  };
+
+  void Open();
+  void OnState(const LinkPointer& aLink, const std::optional<Error>& aError);
+  Entry* Find(const LinkPointer& aLink);
+  bool MayOpen(LinkUse aUse) const;
+  unsigned OpeningCount() const;
+  void Remove(const LinkPointer& aLink);
+
+  std::string mGroup;
+  std::string mUpstream;
+  AnswerObserver& mObserver;
+  const ChannelOpener& mOpener;
+  UpstreamLink::Clock mClock;
+  std::function<void()> mOnChange;
+  LinkPoolSettings mSettings;
+  unsigned mLimit = 1;
+  std::vector<Entry> mEntries;
+  std::optional<Error> mFailure;
+  unsigned mFailures = 0;
+  Instant mRetryAt;
+  bool mIsRetired = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -0,0 +1,683 @@
+#include "LibRelay/RelayGroup.h"
+
+#include "LibRelay/Journey.h"
+
+#include <algorithm>
+
+namespace papayaline {
+
+namespace {
+
+/// Weight of a new observation in the smoothed service time.
+constexpr int kServiceWeight = 8;
+
+std::string
+ToText(uint64_t aValue)
+{
+  return std::to_string(aValue);
+}
+
+}
+
+RelayGroup::RelayGroup(const RelayEnvironment& aEnvironment,
+                       RelayGroupConfiguration aConfiguration,
+                       RelayGroupSettings aSettings)
+  : mEnvironment(aEnvironment)
+  , mConfiguration(std::move(aConfiguration))
+  , mSettings(aSettings)
+  , mProtocol(aEnvironment.mProtocol())
+{
+}
+
+RelayGroup::~RelayGroup() = default;
+
+void
+RelayGroup::Configure(const RelayGroupConfiguration& aConfiguration)
+{
+  mConfiguration = aConfiguration;
+}
+
+void
+RelayGroup::SetMembers(const std::vector<GroupMember>& aMembers)
+{
+  const auto before = mView.Members();
+  mView.SetMembers(aMembers);
+  for (const auto& it : before) {
+    const auto* now = mView.FindMember(it.mName);
+    if (!now || now->mStartedMs != it.mStartedMs) {
+      mMembers.erase(it.mName);
+      Log("member.removed", { { "upstream", it.mName } });
+    }
+  }
+  for (const auto& it : aMembers) {
+    auto& member = mMembers[it.mName];
+    if (member.mPool) {
+      continue;
+    }
+    member.mPool = std::make_unique<LinkPool>(mConfiguration.mName,
+                                              it.mName,
+                                              *this,
+                                              mEnvironment.mOpen,
+                                              mEnvironment.mNow,
+                                              [this] { RequestDispatch(); });
+    member.mPool->mOnFailure = [this, name = it.mName](const Error& aError) {
+      if (!mView.IsFailing(name)) {
+        Log("upstream.lost",
+            { { "upstream", name }, { "error", aError.mMessage } });
+      }
+      mView.ObserveFailure(name, mEnvironment.mNow());
+    };
+    Log("member.added",
+        { { "upstream", it.mName }, { "domain", it.mFailureDomain } });
+  }
+  RequestDispatch();
+}
+
+void
+RelayGroup::Log(const std::string& aEvent,
+                std::vector<std::pair<std::string, std::string>> aFields) const
+{
+  aFields.insert(aFields.begin(), { "group", mConfiguration.mName });
+  mEnvironment.mLog(aEvent, aFields);
+}
+
+void
+RelayGroup::Submit(RelayRequest aRequest, OutcomeHandler aHandler)
+{
+  auto journey = std::make_shared<Journey>();
+  journey->mRequest = std::move(aRequest);
+  journey->mHandler = std::move(aHandler);
+  if (mJourneys.size() >= mSettings.mQueueLimit) {
+    mJourneys.push_back(journey);
+    Refuse(journey, { ErrorKind::QueueFull, "queue of the group is full" });
+    return;
+  }
+  const auto& request = journey->mRequest;
+  if (request.mRoute.mFreshness != Freshness::Latest) {
+    mFrontierWantedUntil = request.mAskedAt + std::chrono::seconds(3);
+  }
+  const auto at = std::ranges::upper_bound(
+    mJourneys, request.mRoute.mRank, {}, [](const auto& it) {
+      return it->mRequest.mRoute.mRank;
+    });
+  mJourneys.insert(at, journey);
+  Dispatch();
+}
+
+void
+RelayGroup::Continue(const std::shared_ptr<TransactionHold>& aHold,
+                     RelayRequest aRequest,
+                     OutcomeHandler aHandler)
+{
+  auto journey = std::make_shared<Journey>();
+  journey->mRequest = std::move(aRequest);
+  journey->mHandler = std::move(aHandler);
+  journey->mHold = aHold;
+  mJourneys.push_back(journey);
+  if (!aHold->mLink->IsReady()) {
+    Refuse(journey,
+           { ErrorKind::UpstreamLost, "connection of the transaction ended" });
+    return;
+  }
+  RelayChoice choice;
+  choice.mPrimary = aHold->mPrimary;
+  Start(journey, choice, aHold->mLink);
+}
+
+void
+RelayGroup::Cancel(const SessionState& aSession)
+{
+  std::erase_if(mJourneys, [&](const auto& it) {
+    const bool isCancelled =
+      it->mRequest.mSession.get() == &aSession && it->IsWaiting();
+    it->mIsFinished |= isCancelled;
+    return isCancelled;
+  });
+}
+
+void
+RelayGroup::Abandon(const std::shared_ptr<TransactionHold>& aHold)
+{
+  const auto it = mMembers.find(aHold->mLink->Upstream());
+  if (it != mMembers.end()) {
+    it->second.mPool->Release(aHold->mLink);
+  } else {
+    aHold->mLink->Drop();
+  }
+}
+
+void
+RelayGroup::OnAnswered(const std::string& aUpstream,
+                       const StatementAnswer& aAnswer,
+                       Instant aAskedAt)
+{
+  const auto now = mEnvironment.mNow();
+  if (mView.IsFailing(aUpstream)) {
+    Log("upstream.regained", { { "upstream", aUpstream } });
+  }
+  mView.ObservePosition(aUpstream,
+                        aAnswer.mPosition.value_or(mView.AppliedOf(aUpstream)),
+                        aAskedAt,
+                        now);
+}
+
+void
+RelayGroup::OnPromotionAnswer(const std::string& aUpstream,
+                              PromotionAnswer aAnswer)
+{
+  mTakeover.OnPromotionAnswer(aUpstream, aAnswer, mEnvironment.mNow());
+}
+
+void
+RelayGroup::Tick()
+{
+  const auto now = mEnvironment.mNow();
+  for (auto& [name, it] : mMembers) {
+    it.mPool->Tick(now);
+  }
+  ExpireExchanges(now);
+  RunTakeover(now);
+  Probe(now);
+  RunWaitingCommands();
+  AskEvidence(now);
+  CheckConfirmations();
+  ExpireJourneys(now);
+  HedgeReads(now);
+  Dispatch();
+}
+
+// Choosing and sending.
+
+RelayNeed
+RelayGroup::NeedOf(const RelayRequest& aRequest) const
+{
+  RelayNeed need;
+  need.mArrivedAt = aRequest.mArrivedAt;
+  need.mNeedsPrimary = aRequest.mAccess == Access::Write ||
+                       aRequest.mMode == TransactionMode::ReadWrite;
+  if (aRequest.mRoute.mFreshness != Freshness::Latest) {
+    need.mMaxAge = aRequest.mRoute.mMaxAge;
+  }
+  if (aRequest.mRoute.mFreshness == Freshness::OwnWrites) {
+    need.mOwnWrite = aRequest.mSession->mOwnWrite;
+  }
+  return need;
+}
+
+std::vector<RelayCandidate>
+RelayGroup::Candidates(const Journey& aJourney) const
+{
+  const auto now = mEnvironment.mNow();
+  std::vector<RelayCandidate> candidates;
+  for (const auto& it : mView.Members()) {
+    const auto& member = mMembers.at(it.mName);
+    RelayCandidate candidate;
+    candidate.mName = it.mName;
+    candidate.mIsAvailable =
+      member.mPool->HasFree() && member.mBusyUntil <= now;
+    candidate.mIsSameDomain = it.mFailureDomain == mEnvironment.mFailureDomain;
+    candidate.mIsExcluded =
+      aJourney.mExcluded.contains(it.mName) ||
+      (it.mIsLeaving && mView.Primary() &&
+       mView.Primary()->mName != it.mName);
+    candidate.mInFlight = member.mPool->InUse();
+    candidate.mSlots = it.mSlots;
+    candidate.mServiceTime = member.mServiceTime;
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+void
+RelayGroup::Dispatch()
+{
+  // Starting a journey may finish it and submit another.
+  if (mIsDispatching) {
+    mIsDispatchDue = true;
+    return;
+  }
+  mIsDispatching = true;
+  do {
+    mIsDispatchDue = false;
+    const auto waiting = mJourneys;
+    for (const auto& it : waiting) {
+      if (it->IsWaiting() && it->mNotBefore <= mEnvironment.mNow()) {
+        TryStart(it);
+      }
+    }
+  } while (mIsDispatchDue);
+  mIsDispatching = false;
+}
+
+bool
+RelayGroup::TryStart(const JourneyPointer& aJourney)
+{
+  const auto candidates = Candidates(*aJourney);
+  const auto need = NeedOf(aJourney->mRequest);
+  const auto choice = ChooseUpstream(need, candidates, mView);
+  aJourney->mWaitsFor = choice.mVerdict;
+  if (choice.mVerdict == RelayVerdict::WaitForConnection) {
+    for (const auto& it : candidates) {
+      if (!it.mIsAvailable && !it.mIsExcluded) {
+        mMembers.at(it.mName).mPool->Acquire(*aJourney->mRequest.mSession,
+                                             LinkUse::Statement);
+      }
+    }
+  }
+  if (choice.mVerdict != RelayVerdict::Run) {
+    return false;
+  }
+  auto& pool = *mMembers.at(candidates[choice.mIndex].mName).mPool;
+  auto link = pool.Acquire(*aJourney->mRequest.mSession, LinkUse::Statement);
+  if (!link) {
+    return false;
+  }
+  Start(aJourney, choice, std::move(link));
+  return true;
+}
+
+void
+RelayGroup::Start(const JourneyPointer& aJourney,
+                  const RelayChoice& aChoice,
+                  LinkPointer aLink)
+{
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->mJourney = aJourney;
+  exchange->mLink = std::move(aLink);
+  exchange->mAfter = aChoice.mAfter;
+  exchange->mPrimary = aChoice.mPrimary;
+  exchange->mBegan = mEnvironment.mNow();
+  exchange->mHold = aJourney->mHold;
+  ++aJourney->mInFlight;
+  ++aJourney->mAttempts;
+  aJourney->mLastSentAt = exchange->mBegan;
+  if (!aJourney->mSentAt) {
+    aJourney->mSentAt = exchange->mBegan;
+  }
+  mExchanges.push_back(exchange);
+  Prepare(exchange);
+}
+
+/// The statement follows only when every preparation was acknowledged: one that
+/// failed would let it run with another session's values.
+void
+RelayGroup::Prepare(const ExchangePointer& aExchange)
+{
+  const auto& request = aExchange->mJourney->mRequest;
+  const auto commands = aExchange->mLink->Contents().Preparation(
+    *request.mSession, request.mShape);
+  if (commands.empty()) {
+    BeginTransaction(aExchange);
+    return;
+  }
+  aExchange->mPreparationsLeft = commands.size();
+  for (const auto& it : commands) {
+    aExchange->mLink->Run(it, [=, this](const StatementAnswer& aAnswer) {
+      aExchange->mHasPreparationFailed |= aAnswer.mError.has_value();
+      if (--aExchange->mPreparationsLeft > 0) {
+        return;
+      }
+      if (aExchange->mHasPreparationFailed) {
+        OnLost(aExchange);
+      } else {
+        BeginTransaction(aExchange);
+      }
+    });
+  }
+}
+
+void
+RelayGroup::BeginTransaction(const ExchangePointer& aExchange)
+{
+  const auto& request = aExchange->mJourney->mRequest;
+  if (request.mMode == TransactionMode::None || aExchange->mHold) {
+    SendStatement(aExchange);
+    return;
+  }
+  UpstreamCommand command;
+  command.mForm = request.mMode == TransactionMode::ReadOnly
+                    ? CommandForm::BeginReadOnly
+                    : CommandForm::Begin;
+  command.mAfter = aExchange->mAfter;
+  aExchange->mLink->Run(command, [=, this](const StatementAnswer& aAnswer) {
+    if (aAnswer.mError) {
+      OnRefusal(aExchange, aAnswer);
+      return;
+    }
+    auto hold = std::make_shared<TransactionHold>();
+    hold->mLink = aExchange->mLink;
+    hold->mMode = aExchange->mJourney->mRequest.mMode;
+    hold->mPrimary = aExchange->mPrimary;
+    hold->mArrivedAt = aExchange->mJourney->mRequest.mArrivedAt;
+    aExchange->mHold = std::move(hold);
+    SendStatement(aExchange);
+  });
+}
+
+void
+RelayGroup::SendStatement(const ExchangePointer& aExchange)
+{
+  const auto& journey = *aExchange->mJourney;
+  const auto& request = journey.mRequest;
+  if (journey.mIsFinished) {
+    FreeLink(aExchange);
+    return;
+  }
+  UpstreamCommand command;
+  command.mId = request.mStatement.mId;
+  command.mText = request.mStatement.mText;
+  if (request.mShape) {
+    command.mForm = CommandForm::ForwardPrepared;
+    command.mName = aExchange->mLink->Contents().NameOf(*request.mShape);
+    command.mValue = request.mStatement.mValue;
+  }
+  if (!aExchange->mHold) {
+    command.mAfter = aExchange->mAfter;
+  }
+  aExchange->mIsStatementSent = true;
+  aExchange->mStatementSentAt = mEnvironment.mNow();
+  if (aExchange->mHold && request.mAccess == Access::Write) {
+    aExchange->mHold->mHasWritten = true;
+  }
+  aExchange->mLink->Run(command, [=, this](const StatementAnswer& aAnswer) {
+    OnStatementAnswer(aExchange, aAnswer);
+  });
+  AskEvidence(mEnvironment.mNow());
+}
+
+void
+RelayGroup::OnStatementAnswer(const ExchangePointer& aExchange,
+                              const StatementAnswer& aAnswer)
+{
+  const auto now = mEnvironment.mNow();
+  if (auto it = mMembers.find(aExchange->mLink->Upstream());
+      it != mMembers.end() && !aAnswer.mError) {
+    auto& mean = it->second.mServiceTime;
+    mean += (now - aExchange->mStatementSentAt - mean) / kServiceWeight;
+  }
+  if (!aAnswer.mError) {
+    OnSuccess(aExchange, aAnswer);
+  } else if (aAnswer.mError->mKind == ErrorKind::UpstreamLost) {
+    OnLost(aExchange);
+  } else {
+    OnRefusal(aExchange, aAnswer);
+  }
+}
+
+void
+RelayGroup::OnSuccess(const ExchangePointer& aExchange,
+                      const StatementAnswer& aAnswer)
+{
+  const auto journey = aExchange->mJourney;
+  RemoveExchange(aExchange);
+  if (journey->mIsFinished || journey->mIsConfirming) {
+    FreeLink(aExchange);
+    return;
+  }
+  ++(aExchange->mPrimary ? mCounts.mReadsAtPrimary : mCounts.mReadsAtReplica);
+  if (!aExchange->mPrimary) {
+    if (!aExchange->mHold || journey->IsCommit()) {
+      FreeLink(aExchange);
+      aExchange->mHold.reset();
+    }
+    Finish(journey, aAnswer, aExchange->mHold);
+    return;
+  }
+  Confirm(journey, aAnswer, aExchange);
+}
+
+void
+RelayGroup::NoteRefusal(const ExchangePointer& aExchange, const Error& aError)
+{
+  const auto& name = aExchange->mLink->Upstream();
+  const auto now = mEnvironment.mNow();
+  aExchange->mJourney->mLastRefusal = aError;
+  if (aError.mKind == ErrorKind::NotPrimary) {
+    Log("primary.denied", { { "upstream", name } });
+    mView.ObserveNotPrimary(name);
+    SendCommand({ name, ControlCommand::AskStatus, 0 });
+  } else if (aError.mKind == ErrorKind::QueueFull) {
+    if (auto it = mMembers.find(name); it != mMembers.end()) {
+      it->second.mBusyUntil = now + mSettings.mBusyDelay;
+    }
+  } else if (aError.mKind == ErrorKind::TooStale) {
+    aExchange->mJourney->mExcluded.insert(name);
+  }
+}
+
+/// The database promises that the statement did not run, or says that it ran
+/// and failed.
+void
+RelayGroup::OnRefusal(const ExchangePointer& aExchange,
+                      const StatementAnswer& aAnswer)
+{
+  const auto journey = aExchange->mJourney;
+  const auto error = *aAnswer.mError;
+  RemoveExchange(aExchange);
+  if (error.mKind == ErrorKind::UpstreamLost) {
+    DropLink(aExchange);
+  } else {
+    NoteRefusal(aExchange, error);
+    FreeLink(aExchange);
+  }
+  if (journey->mIsFinished || journey->mIsConfirming) {
+    return;
+  }
+  const bool isFinal = error.mKind == ErrorKind::StatementFailed ||
+                       error.mKind == ErrorKind::StatementTimeout ||
+                       error.mKind == ErrorKind::BadInput || journey->mHold;
+  if (isFinal) {
+    Refuse(journey, error);
+  } else {
+    Retry(aExchange, error);
+  }
+}
+
+/// The connection ended before the answer came.
+void
+RelayGroup::OnLost(const ExchangePointer& aExchange)
+{
+  const auto journey = aExchange->mJourney;
+  RemoveExchange(aExchange);
+  DropLink(aExchange);
+  if (journey->mIsFinished || journey->mIsConfirming) {
+    return;
+  }
+  if (aExchange->mIsStatementSent && journey->MayHaveEffect()) {
+    Refuse(journey,
+           { ErrorKind::OutcomeUnknown, "connection ended before the answer" });
+    return;
+  }
+  const Error lost{ ErrorKind::UpstreamLost, "connection ended" };
+  const bool isInTransaction =
+    journey->mHold ||
+    (aExchange->mHold && journey->mRequest.mAccess == Access::Write);
+  if (isInTransaction) {
+    Refuse(journey, lost);
+  } else {
+    Retry(aExchange, lost);
+  }
+}
+
+void
+RelayGroup::Retry(const ExchangePointer& aExchange, const Error& aReason)
+{
+  const auto& journey = aExchange->mJourney;
+  if (journey->mInFlight > 0) {
+    return;
+  }
+  if (journey->mAttempts >= mSettings.mMaxAttempts) {
+    Refuse(journey, aReason);
+    return;
+  }
+  if (aReason.mKind == ErrorKind::QueueFull) {
+    journey->mNotBefore = mEnvironment.mNow() + mSettings.mBusyDelay;
+  }
+  RequestDispatch();
+  Dispatch();
+}
+
+void
+RelayGroup::RemoveExchange(const ExchangePointer& aExchange)
+{
+  const auto n = std::erase(mExchanges, aExchange);
+  if (n > 0) {
+    --aExchange->mJourney->mInFlight;
+  }
+}
+
+void
+RelayGroup::FreeLink(const ExchangePointer& aExchange)
+{
+  const auto it = mMembers.find(aExchange->mLink->Upstream());
+  if (it != mMembers.end()) {
+    it->second.mPool->Release(aExchange->mLink);
+  } else {
+    aExchange->mLink->Drop();
+  }
+}
+
+void
+RelayGroup::DropLink(const ExchangePointer& aExchange)
+{
+  const auto it = mMembers.find(aExchange->mLink->Upstream());
+  if (it != mMembers.end()) {
+    it->second.mPool->Discard(aExchange->mLink);
+  } else {
+    aExchange->mLink->Drop();
+  }
+}
+
+// Ending.
+
+void
+RelayGroup::Finish(const JourneyPointer& aJourney,
+                   const StatementAnswer& aAnswer,
+                   const std::shared_ptr<TransactionHold>& aHold)
+{
+  if (aJourney->mIsFinished) {
+    return;
+  }
+  aJourney->mIsFinished = true;
+  std::erase(mJourneys, aJourney);
+  const auto handler = std::exchange(aJourney->mHandler, nullptr);
+  handler({ aAnswer, aHold });
+}
+
+void
+RelayGroup::Refuse(const JourneyPointer& aJourney, const Error& aError)
+{
+  const auto& request = aJourney->mRequest;
+  const auto primary = mView.Primary();
+  const auto now = mEnvironment.mNow();
+  const auto waited =
+    std::chrono::duration_cast<Milliseconds>(now - request.mAskedAt).count();
+  ++(AnswerFor(aError.mKind).mOutcome == Outcome::Unknown ? mCounts.mUnknown
+                                                          : mCounts.mRefused);
+  Log("request.refused",
+      { { "request", aJourney->Id() },
+        { "database", request.mRoute.mDatabase },
+        { "statement", request.mStatement.mText.substr(0, 40) },
+        { "error", std::string(AnswerFor(aError.mKind).mName) },
+        { "reason", aError.mMessage },
+        { "attempts", ToText(aJourney->mAttempts) },
+        { "waitedMs", ToText(static_cast<uint64_t>(waited)) },
+        { "primary", primary ? primary->mName : "unknown" },
+        { "term", ToText(mView.HighestTerm()) } });
+  StatementAnswer answer;
+  answer.mError = aError;
+  Finish(aJourney, answer);
+}
+
+Instant
+RelayGroup::GiveUpAt(const Journey& aJourney) const
+{
+  const auto& request = aJourney.mRequest;
+  const auto wait = aJourney.mWaitsFor == RelayVerdict::WaitForConnection
+                      ? std::min(request.mRoute.mTarget, request.mRoute.mTimeout)
+                      : request.mRoute.mTimeout;
+  return request.mAskedAt + wait;
+}
+
+void
+RelayGroup::ExpireJourneys(Instant aNow)
+{
+  const auto journeys = mJourneys;
+  for (const auto& it : journeys) {
+    if (!it->IsWaiting() || aNow < GiveUpAt(*it)) {
+      continue;
+    }
+    static constexpr std::array kReasons = {
+      std::pair(RelayVerdict::WaitForConnection, ErrorKind::QueueFull),
+      std::pair(RelayVerdict::WaitForEvidence, ErrorKind::TooStale),
+      std::pair(RelayVerdict::WaitForPrimary, ErrorKind::NoUpstream),
+      std::pair(RelayVerdict::Run, ErrorKind::QueueFull),
+    };
+    const auto* reason = std::ranges::find(
+      kReasons, it->mWaitsFor, &decltype(kReasons)::value_type::first);
+    Refuse(it, { reason->second, "no database was free in time" });
+  }
+}
+
+/// A database that does not answer within the route's time: its connection is
+/// closed, which rolls back whatever is open on it.
+void
+RelayGroup::ExpireExchanges(Instant aNow)
+{
+  const auto exchanges = mExchanges;
+  for (const auto& it : exchanges) {
+    const auto& journey = it->mJourney;
+    if (aNow - it->mBegan < journey->mRequest.mRoute.mTimeout) {
+      continue;
+    }
+    Log("request.unanswered",
+        { { "request", journey->Id() },
+          { "upstream", it->mLink->Upstream() } });
+    const bool isRead = !journey->MayHaveEffect() && !it->mHold &&
+                        !journey->mIsFinished && !journey->mIsConfirming;
+    if (isRead && journey->mInFlight == 1) {
+      RemoveExchange(it);
+      DropLink(it);
+      Refuse(journey, { ErrorKind::StatementTimeout, "no answer in time" });
+    } else {
+      OnLost(it);
+    }
+  }
+}
+
+bool
+RelayGroup::MayHedge(const Journey& aJourney, Instant aNow) const
+{
+  if (aJourney.mIsFinished || aJourney.mIsConfirming ||
+      aJourney.mInFlight != 1 || aJourney.mHold ||
+      aJourney.mRequest.mAccess != Access::Read ||
+      aJourney.mRequest.mMode != TransactionMode::None) {
+    return false;
+  }
+  const auto it = std::ranges::find_if(mExchanges, [&](const auto& exchange) {
+    return exchange->mJourney.get() == &aJourney;
+  });
+  if (it == mExchanges.end()) {
+    return false;
+  }
+  const auto member = mMembers.find((*it)->mLink->Upstream());
+  const auto usual = member != mMembers.end()
+                       ? member->second.mServiceTime * mSettings.mHedgeFactor
+                       : Duration{};
+  return aNow - aJourney.mLastSentAt >=
+         std::max<Duration>(usual, mSettings.mMinHedgeDelay);
+}
+
+/// A read whose answer may have been lost is sent once more.
+void
+RelayGroup::HedgeReads(Instant aNow)
+{
+  const auto journeys = mJourneys;
+  for (const auto& it : journeys) {
+    if (MayHedge(*it, aNow) && TryStart(it)) {
+      ++mCounts.mHedges;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "LibDecision/TakeoverMachine.h"
+#include "LibRelay/LinkPool.h"
+#include "LibRelay/Protocols.h"
+#include "LibRelay/RelayRequest.h"
+
+#include <list>
+#include <map>
+
+namespace papayaline {
+
+struct RelayGroupSettings
+{
+  /// Queued statements of one group on one instance.
+  size_t mQueueLimit = 400;
+  /// How long a commit waits for a replica to have received it where the
+  /// configuration asks for none; evidence that the primary still leads is
+  /// needed in any case.
+  Duration mReplicationWait = std::chrono::milliseconds(150);
+  /// Between two requests for evidence while somebody waits.
+  Duration mEvidenceInterval = std::chrono::milliseconds(4);
+  /// A request for evidence that takes longer is put to another replica too.
+  Duration mEvidenceTimeout = std::chrono::milliseconds(60);
+  /// How old the newest frontier may grow while aged reads come in.
+  Duration mFrontierRefresh = std::chrono::milliseconds(400);
+  /// The primary is asked after this much silence, other members less often.
+  Duration mPrimaryProbe = std::chrono::milliseconds(250);
+  Duration mMemberProbe = std::chrono::milliseconds(1500);
+  Duration mUnknownProbe = std::chrono::milliseconds(150);
+  /// An unanswered control command; the connection counts as dead.
+  Duration mControlTimeout = std::chrono::milliseconds(500);
+  /// Before a read is also sent to another database: this many times what it
+  /// usually takes, but no less than the minimum.
+  unsigned mHedgeFactor = 4;
+  Duration mMinHedgeDelay = std::chrono::milliseconds(120);
+  /// After a database refused a statement for lack of a slot.
+  Duration mBusyDelay = std::chrono::milliseconds(8);
+  unsigned mMaxAttempts = 12;
+};
+
+/// What a group needs of its surroundings.
+struct RelayEnvironment
+{
+  ChannelOpener mOpen;
+  UpstreamLink::Clock mNow;
+  UpstreamProtocolFactory mProtocol = nullptr;
+  std::string mFailureDomain;
+  /// The promotion duty; see TakeoverMachine.
+  std::function<std::optional<DutyGrant>()> mGrant;
+  std::function<void(const std::string& aGroup)> mAcquireDuty;
+  std::function<void(const std::string& aGroup, const std::string& aUpstream)>
+    mOrderPromotion;
+  /// Takes one line of the decision log.
+  std::function<void(const std::string& aEvent,
+                     const std::vector<std::pair<std::string, std::string>>&)>
+    mLog;
+};
+
+/// Counts of what happened to statements, for the metrics.
+struct RelayCounts
+{
+  uint64_t mReadsAtReplica = 0;
+  uint64_t mReadsAtPrimary = 0;
+  uint64_t mWrites = 0;
+  uint64_t mRefused = 0;
+  uint64_t mUnknown = 0;
+  uint64_t mHedges = 0;
+  uint64_t mControlCommands = 0;
+};
+
+/// Serves the statements for one group on one instance: connections, evidence,
+/// choice of database, repetition, and the takeover of a failed primary. Free
+/// of sockets and clocks. Thread safety: one thread.
+class RelayGroup : public AnswerObserver
+{
+public:
+  RelayGroup(const RelayEnvironment& aEnvironment,
+             RelayGroupConfiguration aConfiguration,
+             RelayGroupSettings aSettings = {});
+  ~RelayGroup() override;
+
+  void Configure(const RelayGroupConfiguration& aConfiguration);
+  void SetMembers(const std::vector<GroupMember>& aMembers);
+
+  /// Runs a statement outside a transaction, or the first of one.
+  void Submit(RelayRequest aRequest, OutcomeHandler aHandler);
+  /// Runs a further statement, or the commit, of a transaction. The hold ends
+  /// when the outcome carries none.
+  void Continue(const std::shared_ptr<TransactionHold>& aHold,
+                RelayRequest aRequest,
+                OutcomeHandler aHandler);
+  /// Forgets the statements of a session that still wait.
+  void Cancel(const SessionState& aSession);
+  /// Rolls a transaction back; the caller needs no answer.
+  void Abandon(const std::shared_ptr<TransactionHold>& aHold);
+
+  /// Must run at least each 20 ms while anything waits.
+  void Tick();
+
+  void OnDutyRefused(Instant aRetryAt) { mTakeover.OnDutyRefused(aRetryAt); }
+  void OnPromotionAnswer(const std::string& aUpstream, PromotionAnswer aAnswer);
+
+  const GroupView& View() const { return mView; }
+  const std::string& Name() const { return mConfiguration.mName; }
+  const RelayCounts& Counts() const { return mCounts; }
+  bool IsIdle() const { return mJourneys.empty(); }
+
+  void OnAnswered(const std::string& aUpstream,
+                  const StatementAnswer& aAnswer,
+                  Instant aAskedAt) override;
+
+private:
+  struct Journey;
+  using JourneyPointer = std::shared_ptr<Journey>;
+  struct Exchange;
+  using ExchangePointer = std::shared_ptr<Exchange>;
+  struct ControlCall
+  {
+    LinkPointer mLink;
+    Instant mAskedAt;
+  };
+  struct Member
+  {
+    std::unique_ptr<LinkPool> mPool;
+    Duration mServiceTime = std::chrono::milliseconds(10);
+    /// Refused for lack of a slot; not fed before then.
+    Instant mBusyUntil;
+    Instant mNextProbe;
+    /// Control commands that wait for a connection.
+    std::vector<CommandMember> mCommands;
+    /// Control commands under way, oldest first.
+    std::vector<ControlCall> mCalls;
+
+    bool IsAsked() const { return !mCalls.empty(); }
+  };
+  struct Confirmation
+  {
+    JourneyPointer mJourney;
+    StatementAnswer mAnswer;
+    PrimaryOfGroup mPrimary;
+    /// Set for a commit.
+    std::optional<LogPosition> mWritten;
+    Instant mSince;
+    std::shared_ptr<TransactionHold> mHold;
+  };
+
+  // Choosing and sending.
+  void Dispatch();
+  void RequestDispatch() { mIsDispatchDue = true; }
+  bool TryStart(const JourneyPointer& aJourney);
+  RelayNeed NeedOf(const RelayRequest& aRequest) const;
+  std::vector<RelayCandidate> Candidates(const Journey& aJourney) const;
+  void Start(const JourneyPointer& aJourney,
+             const RelayChoice& aChoice,
+             LinkPointer aLink);
+  void Prepare(const ExchangePointer& aExchange);
+  void BeginTransaction(const ExchangePointer& aExchange);
+  void SendStatement(const ExchangePointer& aExchange);
+  void OnStatementAnswer(const ExchangePointer& aExchange,
+                         const StatementAnswer& aAnswer);
+  void OnSuccess(const ExchangePointer& aExchange,
+                 const StatementAnswer& aAnswer);
+  void OnRefusal(const ExchangePointer& aExchange,
+                 const StatementAnswer& aAnswer);
+  void OnLost(const ExchangePointer& aExchange);
+  void NoteRefusal(const ExchangePointer& aExchange, const Error& aError);
+  void Retry(const ExchangePointer& aExchange, const Error& aReason);
+  void FreeLink(const ExchangePointer& aExchange);
+  void DropLink(const ExchangePointer& aExchange);
+
+  // Ending.
+  void Finish(const JourneyPointer& aJourney,
+              const StatementAnswer& aAnswer,
+              const std::shared_ptr<TransactionHold>& aHold = {});
+  void Refuse(const JourneyPointer& aJourney, const Error& aError);
+  Instant GiveUpAt(const Journey& aJourney) const;
+  void ExpireJourneys(Instant aNow);
+  void ExpireExchanges(Instant aNow);
+  void HedgeReads(Instant aNow);
+  bool MayHedge(const Journey& aJourney, Instant aNow) const;
+  void RemoveExchange(const ExchangePointer& aExchange);
+
+  // Evidence.
+  void Confirm(const JourneyPointer& aJourney,
+               const StatementAnswer& aAnswer,
+               const ExchangePointer& aExchange);
+  void CheckConfirmations();
+  bool IsConfirmed(const Confirmation& aConfirmation, Instant aNow) const;
+  void FailConfirmation(const Confirmation& aConfirmation);
+  void AskEvidence(Instant aNow);
+  bool WantsEvidence(Instant aNow) const;
+  bool WantsFrontier(Instant aNow) const;
+  bool IsReplaced(const PrimaryOfGroup& aPrimary) const;
+
+  // Control.
+  void Probe(Instant aNow);
+  void SendCommand(const CommandMember& aCommand);
+  void RunCommand(const std::string& aName,
+                  const LinkPointer& aLink,
+                  const CommandMember& aCommand);
+  void RunWaitingCommands();
+  void OnCommandAnswer(const std::string& aName,
+                       const CommandMember& aCommand,
+                       const ControlCall& aCall,
+                       const StatementAnswer& aAnswer);
+  void ExpireCalls(Instant aNow);
+  void SetConnectionLimit(const ReplicationStatus& aStatus);
+  void RunTakeover(Instant aNow);
+  void Log(const std::string& aEvent,
+           std::vector<std::pair<std::string, std::string>> aFields) const;
+
+  const RelayEnvironment& mEnvironment;
+  RelayGroupConfiguration mConfiguration;
+  RelayGroupSettings mSettings;
+  GroupView mView;
+  TakeoverMachine mTakeover;
+  std::unique_ptr<UpstreamProtocol> mProtocol;
+  std::map<std::string, Member> mMembers;
+  /// All journeys by rank and arrival; those that wait are dispatched in this
+  /// order.
+  std::list<JourneyPointer> mJourneys;
+  /// Exchanges under way, also those whose journey has ended.
+  std::list<ExchangePointer> mExchanges;
+  std::list<Confirmation> mConfirmations;
+  Instant mNextEvidence;
+  Instant mFrontierWantedUntil;
+  RelayCounts mCounts;
+  bool mIsDispatchDue = false;
+  bool mIsDispatching = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -0,0 +1,331 @@
+#include "LibRelay/RelaySession.h"
+
+#include <array>
+#include <utility>
+
+namespace papayaline {
+
+RelaySession::RelaySession(RelayRouter& aRouter,
+                           std::string aDatabase,
+                           Responder aRespond)
+  : mRouter(aRouter)
+  , mDatabase(std::move(aDatabase))
+  , mRespond(std::move(aRespond))
+  , mState(std::make_shared<SessionState>())
+{
+}
+
+RelaySession::~RelaySession()
+{
+  if (mGroup) {
+    mGroup->Cancel(*mState);
+  }
+  EndTransaction();
+}
+
+void
+RelaySession::Handle(const CallerStatement& aStatement)
+{
+  mIsBusy = true;
+  using Handler = void (RelaySession::*)(const CallerStatement&);
+  struct Entry
+  {
+    StatementForm mForm;
+    Handler mHandle;
+  };
+  static constexpr std::array kHandlers = {
+    Entry{ StatementForm::Begin, &RelaySession::Begin },
+    Entry{ StatementForm::BeginReadOnly, &RelaySession::Begin },
+    Entry{ StatementForm::Commit, &RelaySession::Commit },
+    Entry{ StatementForm::Rollback, &RelaySession::Rollback },
+    Entry{ StatementForm::Read, &RelaySession::Run },
+    Entry{ StatementForm::Write, &RelaySession::Run },
+    Entry{ StatementForm::SetValue, &RelaySession::SetValue },
+    Entry{ StatementForm::Prepare, &RelaySession::Prepare },
+    Entry{ StatementForm::ExecutePrepared, &RelaySession::Run },
+    Entry{ StatementForm::ClosePrepared, &RelaySession::ClosePrepared },
+  };
+  const auto* entry =
+    std::ranges::find(kHandlers, aStatement.mForm, &Entry::mForm);
+  const bool isEnd = aStatement.mForm == StatementForm::Commit ||
+                     aStatement.mForm == StatementForm::Rollback;
+  if (mPhase == Phase::Failed && !isEnd) {
+    Fail(mFailure.mKind == ErrorKind::BadInput
+           ? Error{ ErrorKind::BadInput, "the transaction has failed" }
+           : std::exchange(mFailure,
+                           { ErrorKind::BadInput,
+                             "the transaction has failed" }));
+    return;
+  }
+  (this->*entry->mHandle)(aStatement);
+}
+
+void
+RelaySession::HandleInvalid(const Error& aError)
+{
+  mIsBusy = true;
+  Fail(aError);
+}
+
+bool
+RelaySession::ResolveRoute()
+{
+  const auto* configuration = mRouter.Configuration();
+  const auto* route =
+    configuration ? configuration->FindRoute(mDatabase) : nullptr;
+  auto group = route ? mRouter.FindGroup(route->mGroup) : nullptr;
+  if (!group) {
+    Fail({ ErrorKind::UnknownGroup, mDatabase });
+    return false;
+  }
+  mRoute = *route;
+  mGroup = std::move(group);
+  return true;
+}
+
+void
+RelaySession::Begin(const CallerStatement& aStatement)
+{
+  if (mPhase != Phase::None) {
+    Fail({ ErrorKind::BadInput, "a transaction is open" });
+    return;
+  }
+  if (!ResolveRoute()) {
+    return;
+  }
+  mPhase = Phase::Begun;
+  mMode = aStatement.mForm == StatementForm::Begin ? TransactionMode::ReadWrite
+                                                   : TransactionMode::ReadOnly;
+  mArrivedAt = mRouter.Now();
+  mHasWritten = false;
+  RespondDone();
+}
+
+RelayRequest
+RelaySession::MakeRequest(const CallerStatement& aStatement) const
+{
+  RelayRequest request;
+  request.mStatement = aStatement;
+  request.mSession = mState;
+  request.mRoute = mRoute;
+  request.mMode = mMode;
+  request.mAskedAt = mRouter.Now();
+  request.mArrivedAt = mPhase == Phase::None ? request.mAskedAt : mArrivedAt;
+  return request;
+}
+
+void
+RelaySession::Run(const CallerStatement& aStatement)
+{
+  if (mPhase == Phase::None) {
+    if (!ResolveRoute()) {
+      return;
+    }
+    mMode = TransactionMode::None;
+  }
+  auto request = MakeRequest(aStatement);
+  request.mAccess = aStatement.mForm == StatementForm::Write ? Access::Write
+                                                             : Access::Read;
+  if (aStatement.mForm == StatementForm::ExecutePrepared) {
+    const auto it = mState->mPrepared.find(aStatement.mName);
+    if (it == mState->mPrepared.end()) {
+      Fail({ ErrorKind::NotFound, aStatement.mName });
+      return;
+    }
+    request.mShape = it->second;
+    request.mAccess = it->second.mAccess;
+  }
+  if (request.mAccess == Access::Write && mMode == TransactionMode::ReadOnly) {
+    Fail({ ErrorKind::NotPrimary, "the transaction is read-only" });
+    return;
+  }
+  Send(std::move(request));
+}
+
+void
+RelaySession::Commit(const CallerStatement& aStatement)
+{
+  if (mPhase == Phase::None) {
+    Fail({ ErrorKind::BadInput, "no transaction is open" });
+    return;
+  }
+  if (mPhase == Phase::Failed) {
+    EndTransaction();
+    Fail({ ErrorKind::WriteNotRun, "the transaction was rolled back" });
+    return;
+  }
+  Send(MakeRequest(aStatement));
+}
+
+void
+RelaySession::Rollback(const CallerStatement&)
+{
+  if (mPhase == Phase::None) {
+    Fail({ ErrorKind::BadInput, "no transaction is open" });
+    return;
+  }
+  EndTransaction();
+  RespondDone();
+}
+
+void
+RelaySession::SetValue(const CallerStatement& aStatement)
+{
+  auto& values = mState->mValues;
+  if (values.size() >= SessionState::kMaxValues &&
+      !values.contains(aStatement.mName)) {
+    Fail({ ErrorKind::MessageTooLarge, "too many session values" });
+    return;
+  }
+  values[aStatement.mName] = aStatement.mValue;
+  RespondDone();
+}
+
+void
+RelaySession::Prepare(const CallerStatement& aStatement)
+{
+  auto& prepared = mState->mPrepared;
+  if (prepared.size() >= SessionState::kMaxPrepared &&
+      !prepared.contains(aStatement.mName)) {
+    Fail({ ErrorKind::MessageTooLarge, "too many prepared statements" });
+    return;
+  }
+  prepared[aStatement.mName] = { aStatement.mAccess, aStatement.mValue };
+  RespondDone();
+}
+
+void
+RelaySession::ClosePrepared(const CallerStatement& aStatement)
+{
+  mState->mPrepared.erase(aStatement.mName);
+  RespondDone();
+}
+
+void
+RelaySession::Send(RelayRequest aRequest)
+{
+  // The session may end before its answer comes.
+  auto handler = [weak = weak_from_this(), group = mGroup, aRequest](
+                   const RelayOutcome& aOutcome) {
+    if (const auto self = weak.lock()) {
+      self->OnOutcome(aOutcome, aRequest);
+    } else if (aOutcome.mHold) {
+      group->Abandon(aOutcome.mHold);
+    }
+  };
+  if (mPhase == Phase::Open) {
+    mGroup->Continue(
+      std::exchange(mHold, nullptr), std::move(aRequest), std::move(handler));
+  } else {
+    mGroup->Submit(std::move(aRequest), std::move(handler));
+  }
+}
+
+void
+RelaySession::OnOutcome(const RelayOutcome& aOutcome,
+                        const RelayRequest& aRequest)
+{
+  const auto& answer = aOutcome.mAnswer;
+  const bool isCommit = aRequest.mStatement.mForm == StatementForm::Commit;
+  const bool isWrite = aRequest.mAccess == Access::Write;
+  if (answer.mError) {
+    if (isCommit) {
+      EndTransaction();
+    }
+    Fail(*answer.mError);
+    return;
+  }
+  mHasWritten |= isWrite;
+  if ((isCommit || mPhase == Phase::None) && mHasWritten && answer.mPosition) {
+    mState->mOwnWrite = std::max(mState->mOwnWrite, answer.mPosition);
+  }
+  mHold = aOutcome.mHold;
+  if (isCommit) {
+    EndTransaction();
+  } else if (mPhase == Phase::Begun) {
+    mPhase = Phase::Open;
+  } else if (mPhase == Phase::None) {
+    mHasWritten = false;
+  }
+  Respond(answer);
+}
+
+void
+RelaySession::AbortTransaction(const Error& aReason)
+{
+  if (mIsBusy || (mPhase != Phase::Begun && mPhase != Phase::Open)) {
+    return;
+  }
+  EndTransaction();
+  mPhase = Phase::Failed;
+  mFailure = aReason;
+}
+
+void
+RelaySession::ExpireTransaction(Instant aNow)
+{
+  const auto* configuration = mRouter.Configuration();
+  if (configuration &&
+      aNow - mLastAnswerAt >= configuration->mTransactionIdle) {
+    AbortTransaction(
+      { ErrorKind::WriteNotRun, "the transaction idled too long" });
+  }
+}
+
+void
+RelaySession::EndTransaction()
+{
+  if (mHold) {
+    mGroup->Abandon(mHold);
+    mHold.reset();
+  }
+  mPhase = Phase::None;
+  mMode = TransactionMode::None;
+  mHasWritten = false;
+}
+
+TransactionState
+RelaySession::State() const
+{
+  switch (mPhase) {
+    case Phase::None:
+      return TransactionState::None;
+    case Phase::Failed:
+      return TransactionState::Failed;
+    default:
+      return TransactionState::Open;
+  }
+}
+
+void
+RelaySession::RespondDone()
+{
+  StatementAnswer answer;
+  answer.mSignature = "-";
+  Respond(std::move(answer));
+}
+
+/// An error within a transaction fails it, and nothing of it is kept.
+void
+RelaySession::Fail(const Error& aError)
+{
+  if (mPhase == Phase::Begun || mPhase == Phase::Open) {
+    EndTransaction();
+    mPhase = Phase::Failed;
+    mFailure = { ErrorKind::BadInput, "the transaction has failed" };
+  }
+  StatementAnswer answer;
+  answer.mError = aError;
+  Respond(std::move(answer));
+}
+
+void
+RelaySession::Respond(StatementAnswer aAnswer)
+{
+  mIsBusy = false;
+  mLastAnswerAt = mRouter.Now();
+  aAnswer.mState = State();
+  mRespond(aAnswer);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/UpstreamLink.cpp
@@ -0,0 +1,112 @@
+#include "LibRelay/UpstreamLink.h"
+
+#include <utility>
+
+namespace papayaline {
+
+UpstreamLink::UpstreamLink(std::string aUpstream,
+                           AnswerObserver& aObserver,
+                           Clock aClock)
+  : mUpstream(std::move(aUpstream))
+  , mObserver(aObserver)
+  , mClock(std::move(aClock))
+  , mOpenedAt(mClock())
+  , mLastUsedAt(mOpenedAt)
+{
+}
+
+void
+UpstreamLink::Open(const ChannelOpener& aOpener,
+                   const std::string& aGroup,
+                   StateHandler aOnState)
+{
+  mOnState = std::move(aOnState);
+  // A weak reference: the pool may drop the link at any time.
+  const std::weak_ptr weak = weak_from_this();
+  ChannelEvents events;
+  events.mOnAnswer = [weak](const StatementAnswer& aAnswer) {
+    if (const auto self = weak.lock()) {
+      self->OnAnswer(aAnswer);
+    }
+  };
+  events.mOnClosed = [weak](const Error& aError) {
+    if (const auto self = weak.lock()) {
+      self->OnClosed(aError);
+    }
+  };
+  mChannel = aOpener(aGroup, mUpstream, std::move(events));
+}
+
+void
+UpstreamLink::Run(const UpstreamCommand& aCommand, AnswerHandler aHandler)
+{
+  const auto now = mClock();
+  mLastUsedAt = now;
+  mPending.push_back({ aCommand, std::move(aHandler), now });
+  mChannel->Send(aCommand);
+}
+
+void
+UpstreamLink::Drop()
+{
+  if (mState == State::Closed) {
+    return;
+  }
+  mState = State::Closed;
+  mPending.clear();
+  mChannel.reset();
+}
+
+Instant
+UpstreamLink::WaitingSince() const
+{
+  if (mState == State::Opening) {
+    return mOpenedAt;
+  }
+  return mPending.empty() ? mLastUsedAt : mPending.front().mSentAt;
+}
+
+void
+UpstreamLink::OnAnswer(const StatementAnswer& aAnswer)
+{
+  if (mState == State::Opening) {
+    if (aAnswer.mError) {
+      OnClosed(*aAnswer.mError);
+      return;
+    }
+    mState = State::Ready;
+    mObserver.OnAnswered(mUpstream, aAnswer, mOpenedAt);
+    mOnState(std::nullopt);
+    return;
+  }
+  if (mPending.empty()) {
+    OnClosed({ ErrorKind::ProtocolViolation, "answer to nothing" });
+    return;
+  }
+  const auto pending = std::move(mPending.front());
+  mPending.pop_front();
+  mTransaction = aAnswer.mState;
+  if (!aAnswer.mError) {
+    mContents.OnAcknowledged(pending.mCommand);
+  }
+  mObserver.OnAnswered(mUpstream, aAnswer, pending.mSentAt);
+  pending.mHandler(aAnswer);
+}
+
+void
+UpstreamLink::OnClosed(const Error& aError)
+{
+  if (mState == State::Closed) {
+    return;
+  }
+  mState = State::Closed;
+  StatementAnswer lost;
+  lost.mError = Error{ ErrorKind::UpstreamLost, aError.mMessage };
+  const auto pending = std::exchange(mPending, {});
+  for (const auto& it : pending) {
+    it.mHandler(lost);
+  }
+  mOnState(aError);
+}
+
+}
--- a/Services/Papayalined/CallerSession.cpp
+++ b/Services/Papayalined/CallerSession.cpp
@@ -262,19 +262,29 @@
   EnterGroup();
 }
 
-/// Moves to the worker of the group, so that requests need no lock.
+/// Moves to the worker of the group, so that requests need no lock. The move
+/// waits for the event loop: the caller of this function still uses the session
+/// and its socket on the present thread.
 void
 CallerSession::EnterGroup()
 {
   mStartupTimer.stop();
   mState = State::Busy;
   Flush();
+  QMetaObject::invokeMethod(
+    this, [this] { MoveToGroupWorker(); }, Qt::QueuedConnection);
+}
+
+void
+CallerSession::MoveToGroupWorker()
+{
   auto& worker = mContext.mWorkers.WorkerOf(mParameters.Group().toStdString());
   if (&worker != mWorker) {
     mWorker->Forget(this);
     mWorker = &worker;
     moveToThread(worker.thread());
   }
+  // Nothing of the session may be touched here after the move.
   QMetaObject::invokeMethod(
     this,
     [this] {
--- a/Services/Papayalined/CallerSession.h
+++ b/Services/Papayalined/CallerSession.h
@@ -75,6 +75,7 @@
   void StartSession();
   void HandleAuthentication(const Frame& aFrame);
   void EnterGroup();
+  void MoveToGroupWorker();
   void Welcome();
   void HandleFrame(const Frame& aFrame);
   void CancelWaiting();
--- /dev/null
+++ b/Services/Papayalined/Relay/DutyController.cpp
@@ -0,0 +1,167 @@
+#include "DutyController.h"
+
+#include "LibCore/StructuredLog.h"
+#include "LibDecision/Overloaded.h"
+
+#include <QJsonObject>
+
+namespace papayaline {
+
+namespace {
+
+constexpr const char kKind[] = "papayaline-duties";
+constexpr const char kName[] = "promotion";
+/// After the store did not answer or somebody else changed the record.
+constexpr auto kRetryDelay = std::chrono::milliseconds(200);
+
+QJsonObject
+ToJson(const DutyRecord& aRecord)
+{
+  return { { "holder", QString::fromStdString(aRecord.mHolder) },
+           { "incarnation", QString::fromStdString(aRecord.mIncarnation) },
+           { "sequence", static_cast<qint64>(aRecord.mSequence) },
+           { "released", aRecord.mIsReleased } };
+}
+
+StoredDuty
+FromObject(const StoredObject& aObject)
+{
+  const auto& json = aObject.mContent;
+  return { { json["holder"].toString().toStdString(),
+             json["incarnation"].toString().toStdString(),
+             static_cast<uint64_t>(json["sequence"].toInteger()),
+             json["released"].toBool() },
+           aObject.mRevision };
+}
+
+void
+Log(const std::string& aEvent, const LogFields& aFields)
+{
+  StructuredLog::Instance().Write(LogPriority::Decision, aEvent, aFields);
+}
+
+}
+
+DutyController::DutyController(ObjectStore& aStore,
+                               PromotionService& aPromotion,
+                               std::string aInstance,
+                               std::string aIncarnation,
+                               UpstreamLink::Clock aClock)
+  : mStore(aStore)
+  , mPromotion(aPromotion)
+  , mInstance(aInstance)
+  , mDuty(std::move(aInstance), std::move(aIncarnation))
+  , mClock(std::move(aClock))
+{
+}
+
+void
+DutyController::Acquire(const std::string& aGroup)
+{
+  mWaiting.insert(aGroup);
+  if (mIsAcquiring) {
+    return;
+  }
+  mIsAcquiring = true;
+  mStore.Get(kKind, kName, [this](const Result<StoredObject>& aObject) {
+    if (aObject.IsError() &&
+        aObject.GetError().mKind != ErrorKind::NotFound) {
+      Refuse(mClock() + kRetryDelay, aObject.GetError().mMessage);
+      return;
+    }
+    const auto stored = aObject.IsError()
+                          ? std::nullopt
+                          : std::optional(FromObject(aObject.Value()));
+    std::visit(Overloaded{ [this](const TakeDuty& it) { Take(it); },
+                           [&](const WaitForHolder& it) {
+                             Refuse(it.mUntil,
+                                    "held by " + stored->mRecord.mHolder);
+                           } },
+               mDuty.Decide(stored, mClock()));
+  });
+}
+
+void
+DutyController::Take(const TakeDuty& aTake)
+{
+  const auto sentAt = mClock();
+  mStore.Put(kKind,
+             kName,
+             aTake.mExpectedRevision,
+             ToJson(aTake.mRecord),
+             [this, sentAt](const Result<StoredObject>& aObject) {
+               if (aObject.IsError()) {
+                 Refuse(mClock() + kRetryDelay, aObject.GetError().mMessage);
+                 return;
+               }
+               mIsAcquiring = false;
+               mWaiting.clear();
+               mDuty.OnTaken(aObject.Value().mRevision, sentAt);
+               Log("duty.taken",
+                   { { "token", std::to_string(aObject.Value().mRevision) } });
+             });
+}
+
+void
+DutyController::Refuse(Instant aRetryAt, const std::string& aReason)
+{
+  mIsAcquiring = false;
+  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aRetryAt - mClock());
+  Log("duty.refused",
+      { { "reason", aReason }, { "retryInMs", std::to_string(wait.count()) } });
+  const auto waiting = std::exchange(mWaiting, {});
+  for (const auto& it : waiting) {
+    if (const auto group = mRouter->FindGroup(it)) {
+      group->OnDutyRefused(aRetryAt);
+    }
+  }
+}
+
+void
+DutyController::Order(const std::string& aGroup, const std::string& aUpstream)
+{
+  const auto answer = [this, aGroup, aUpstream](PromotionAnswer aAnswer) {
+    Log("promotion.answered",
+        { { "group", aGroup },
+          { "upstream", aUpstream },
+          { "answer", std::to_string(static_cast<int>(aAnswer)) } });
+    if (const auto group = mRouter->FindGroup(aGroup)) {
+      group->OnPromotionAnswer(aUpstream, aAnswer);
+    }
+  };
+  // The process may have been suspended since the order was decided.
+  const auto now = mClock();
+  const auto grant = mDuty.Grant(now);
+  if (!grant) {
+    Log("promotion.withheld", { { "group", aGroup }, { "reason", "expired" } });
+    return;
+  }
+  mDuty.OnOrdered(now);
+  Log("promotion.ordered",
+      { { "group", aGroup },
+        { "upstream", aUpstream },
+        { "token", std::to_string(grant->mToken) } });
+  mPromotion.Promote(aGroup, aUpstream, mInstance, grant->mToken, answer);
+}
+
+void
+DutyController::Tick()
+{
+  const auto release = mDuty.ReleaseIfDue(mClock());
+  if (!release || mIsAcquiring) {
+    return;
+  }
+  mStore.Put(kKind,
+             kName,
+             release->mExpectedRevision,
+             ToJson(release->mRecord),
+             [](const Result<StoredObject>& aObject) {
+               Log("duty.released",
+                   { { "error",
+                       aObject.IsError() ? aObject.GetError().mMessage
+                                         : std::string() } });
+             });
+}
+
+}
--- /dev/null
+++ b/Services/Papayalined/Relay/ObjectWatcher.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "LibCore/StructuredLog.h"
+#include "LibConfiguration/Configuration.h"
+#include "LibPlatform/ObjectStore.h"
+
+#include <QObject>
+
+namespace papayaline {
+
+/// Follows all objects of a kind in the platform's store: lists them, then
+/// watches for changes, over outages of the store. Thread safety: the thread of
+/// its event loop.
+class ObjectWatcher : public QObject
+{
+public:
+  struct Events
+  {
+    /// All objects as listed; those not named are gone.
+    std::function<void(const std::vector<StoredObject>&)> mOnListed;
+    std::function<void(const StoredObject&)> mOnChanged;
+  };
+
+  ObjectWatcher(ObjectStore& aStore, QString aKind, Events aEvents);
+
+  void Start() { List(); }
+
+private:
+  void List();
+  void Watch();
+  void OnFailure(const Error& aError);
+  void OnAnswer();
+
+  ObjectStore& mStore;
+  QString mKind;
+  Events mEvents;
+  int64_t mRevision = 0;
+  bool mIsListed = false;
+  unsigned mFailures = 0;
+};
+
+}
--- /dev/null
+++ b/Services/Papayalined/Relay/RelayMain.cpp
@@ -0,0 +1,42 @@
+#include "RelayMain.h"
+
+#include "RelayService.h"
+#include "platform/Documents.h"
+#include "platform/LineCallerProtocol.h"
+#include "platform/LineUpstreamProtocol.h"
+#include "platform/PromotionClient.h"
+#include "platform/StoreClient.h"
+
+#include <QCoreApplication>
+#include <cstdio>
+
+namespace papayaline {
+
+namespace {
+
+constexpr int kExitCantListen = 3;
+
+}
+
+int
+ServeRelay(const RelaySettings& aSettings)
+{
+  platform::StoreClient store(aSettings.mStore);
+  platform::PromotionClient promotion(aSettings.mPromotion);
+  const platform::Documents documents;
+  RelayService service(aSettings,
+                       { platform::LineCallerProtocol::Create,
+                         platform::LineUpstreamProtocol::Create,
+                         store,
+                         promotion,
+                         documents });
+  const auto started = service.Start();
+  if (started.IsError()) {
+    std::fprintf(
+      stderr, "papayalined: %s\n", started.GetError().mMessage.c_str());
+    return kExitCantListen;
+  }
+  return QCoreApplication::exec();
+}
+
+}
--- /dev/null
+++ b/Services/Papayalined/Relay/SocketChannel.cpp
@@ -0,0 +1,102 @@
+#include "SocketChannel.h"
+
+#include <QHostAddress>
+
+namespace papayaline {
+
+struct SocketChannel::Core
+{
+  std::unique_ptr<UpstreamProtocol> mProtocol;
+  ChannelEvents mEvents;
+  QTcpSocket* mSocket = new QTcpSocket;
+  bool mIsClosed = false;
+
+  void Close(const Error& aError)
+  {
+    if (!std::exchange(mIsClosed, true)) {
+      mEvents.mOnClosed(aError);
+    }
+  }
+
+  void Read()
+  {
+    const auto bytes = mSocket->readAll();
+    mProtocol->Append(bytes.constData(), static_cast<size_t>(bytes.size()));
+    while (!mIsClosed) {
+      const auto next = mProtocol->Next();
+      if (next.IsError()) {
+        Close(next.GetError());
+      } else if (next.Value()) {
+        mEvents.mOnAnswer(*next.Value());
+      } else {
+        return;
+      }
+    }
+  }
+};
+
+SocketChannel::SocketChannel(const Address& aAddress,
+                             const std::string& aGroup,
+                             const std::string& aUpstream,
+                             std::unique_ptr<UpstreamProtocol> aProtocol,
+                             ChannelEvents aEvents)
+  : mCore(std::make_shared<Core>())
+{
+  mCore->mProtocol = std::move(aProtocol);
+  mCore->mEvents = std::move(aEvents);
+  auto* socket = mCore->mSocket;
+  const std::weak_ptr weak = mCore;
+  QObject::connect(socket, &QTcpSocket::connected, socket, [=] {
+    if (const auto core = weak.lock()) {
+      socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+      socket->write(QByteArray::fromStdString(
+        core->mProtocol->EncodeOpening(aGroup, aUpstream)));
+      socket->flush();
+    }
+  });
+  QObject::connect(socket, &QTcpSocket::readyRead, socket, [=] {
+    if (const auto core = weak.lock()) {
+      core->Read();
+    }
+  });
+  const auto onEnd = [=] {
+    if (const auto core = weak.lock()) {
+      core->Close({ ErrorKind::Unreachable,
+                    socket->errorString().toStdString() });
+    }
+  };
+  QObject::connect(socket, &QTcpSocket::disconnected, socket, onEnd);
+  QObject::connect(socket, &QTcpSocket::errorOccurred, socket, onEnd);
+  // Events must not arrive before the constructor has returned.
+  QMetaObject::invokeMethod(
+    socket,
+    [=] {
+      if (!weak.expired()) {
+        socket->connectToHost(
+          QHostAddress(QString::fromStdString(aAddress.mHost)),
+          aAddress.mPort);
+      }
+    },
+    Qt::QueuedConnection);
+}
+
+SocketChannel::~SocketChannel()
+{
+  auto* socket = mCore->mSocket;
+  mCore->mIsClosed = true;
+  QObject::disconnect(socket, nullptr, socket, nullptr);
+  socket->abort();
+  socket->deleteLater();
+}
+
+void
+SocketChannel::Send(const UpstreamCommand& aCommand)
+{
+  if (!mCore->mIsClosed) {
+    mCore->mSocket->write(
+      QByteArray::fromStdString(mCore->mProtocol->EncodeCommand(aCommand)));
+    mCore->mSocket->flush();
+  }
+}
+
+}
--- a/Services/Papayalined/main.cpp
+++ b/Services/Papayalined/main.cpp
@@ -5,6 +5,7 @@
 #include "LibConfiguration/YamlMap.h"
 #include "LibCore/EventRing.h"
 #include "Log.h"
+#include "Relay/RelayMain.h"
 
 #include <QCoreApplication>
 #include <cstdio>
@@ -43,11 +44,16 @@
   return aCode;
 }
 
-Result<Settings>
+using AnySettings = std::variant<Settings, RelaySettings>;
+
+Result<AnySettings>
 LoadSettings(const std::string& aFile)
 {
   const auto text = PL_TRY(ReadFile(aFile));
-  return ParseSettings(text, aFile);
+  if (IsRelaySettings(text)) {
+    return AnySettings(PL_TRY(ParseRelaySettings(text, aFile)));
+  }
+  return AnySettings(PL_TRY(ParseSettings(text, aFile)));
 }
 
 int
@@ -112,5 +118,8 @@
     std::printf("settings are valid\n");
     return 0;
   }
-  return Serve(settings.Value());
+  if (const auto* relay = std::get_if<RelaySettings>(&settings.Value())) {
+    return ServeRelay(*relay);
+  }
+  return Serve(std::get<Settings>(settings.Value()));
 }
--- a/Tests/Integration/TestBadInput.cpp
+++ b/Tests/Integration/TestBadInput.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(HalfMessageAndSilenceHurtsNobody);
   CPPUNIT_TEST(StatementNotUtf8IsRefusedAndSessionGoesOn);
   CPPUNIT_TEST(StatementOfHundredMegabytesIsRefused);
+  CPPUNIT_TEST(SessionsThatVanishAfterStartupHurtNobody);
+  CPPUNIT_TEST(SessionsInQuickSuccessionAreAllAnswered);
   CPPUNIT_TEST_SUITE_END();
 
   static std::unique_ptr<Cluster> sCluster;
@@ -110,6 +112,33 @@
       caller.Run("SELECT '" + std::string(100 * 1024 * 1024, 'x') + "'");
     CPPUNIT_ASSERT(!result.mIsOk);
   }
+
+  /// A session moves to its group's worker while its first bytes, or its end,
+  /// are still arriving.
+  void SessionsThatVanishAfterStartupHurtNobody()
+  {
+    constexpr int kSessions = 1500;
+    for (int it = 0; it < kSessions; ++it) {
+      const auto pipelined =
+        it % 3 == 0 ? "Q" + Length(13) + QByteArray("SELECT 1\0", 9) : "";
+      auto socket = Open(Startup() + pipelined);
+      CPPUNIT_ASSERT_EQUAL(QAbstractSocket::ConnectedState, socket->state());
+      if (it % 3 != 1) {
+        CPPUNIT_ASSERT(socket->waitForReadyRead(3000));
+      }
+      socket->abort();
+    }
+  }
+
+  void SessionsInQuickSuccessionAreAllAnswered()
+  {
+    constexpr int kSessions = 1500;
+    for (int it = 0; it < kSessions; ++it) {
+      auto socket = Open(Startup() + "Q" + Length(13) +
+                         QByteArray("SELECT 1\0", 9) + "X" + Length(4));
+      CPPUNIT_ASSERT(ReadUntil(*socket, "SELECT 1").contains("SELECT 1"));
+    }
+  }
 };
 
 std::unique_ptr<Cluster> TestBadInput::sCluster;
