--- a/Libraries/LibCore/StructuredLog.cpp
+++ b/Libraries/LibCore/StructuredLog.cpp
@@ -28,9 +28,9 @@
     const auto now = std::chrono::steady_clock::now();
     const std::chrono::duration<double> elapsed = now - mFilledAt;
     mFilledAt = now;
-    mTokens = std::min(
-      StructuredLog::kBurst,
-      mTokens + elapsed.count() * StructuredLog::kLinesPerSecond);
+    mTokens =
+      std::min(StructuredLog::kBurst,
+               mTokens + elapsed.count() * StructuredLog::kLinesPerSecond);
     if (mTokens < 1) {
       ++mDropped;
       return false;
--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -25,6 +25,7 @@
     }
   }
   mMembers = std::move(aMembers);
+  mLargestSize = std::max(mLargestSize, mMembers.size());
   std::erase_if(mKnowledge,
                 [this](const auto& it) { return !FindMember(it.first); });
   if (!FindMember(mPrimary)) {
@@ -65,10 +66,7 @@
   } else if (mPrimary == aStatus.mUpstream) {
     ForgetPrimary();
   }
-  if (!mPrimary.empty() && Proves(aStatus, mHighestTerm)) {
-    mEvidenceAskedAt = std::max(mEvidenceAskedAt, std::optional(aStatus.mAskedAt));
-    RecordFrontiers();
-  }
+  RecordFrontiers();
 }
 
 void
@@ -156,30 +154,66 @@
   return it != mKnowledge.end() && it->second.mIsFailing;
 }
 
-bool
-GroupView::Proves(const ReplicationStatus& aStatus, uint64_t aTerm) const
+void
+GroupView::ObserveContact(const std::string& aName, Instant aNow)
+{
+  if (FindMember(aName)) {
+    mKnowledge[aName].mContact = aNow;
+  }
+}
+
+size_t
+GroupView::GroupSize() const
+{
+  return std::max(mMembers.size(), std::min(mLargestSize, kUsualSize));
+}
+
+/// Replicas that were in a term when they were asked.
+size_t
+GroupView::CountFollowers(uint64_t aTerm, Instant aSince) const
 {
-  return aStatus.mRole == Role::Replica && aStatus.mTerm == aTerm &&
-         aStatus.mFencedTerm <= aTerm;
+  return static_cast<size_t>(
+    std::ranges::count_if(mKnowledge, [&](const auto& it) {
+      const auto& status = it.second.mStatus;
+      return status && status->mRole == Role::Replica &&
+             status->mTerm == aTerm && status->mAskedAt >= aSince;
+    }));
 }
 
 bool
 GroupView::IsUnreplaced(const PrimaryOfGroup& aPrimary, Instant aSince) const
 {
-  return IsReplicated(aPrimary, {}, aSince);
+  // With the primary they must meet every majority.
+  const auto size = GroupSize();
+  const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
+  return aPrimary.mTerm == mHighestTerm &&
+         CountFollowers(aPrimary.mTerm, aSince) >= needed;
 }
 
 bool
 GroupView::IsReplicated(const PrimaryOfGroup& aPrimary,
-                        LogPosition aPosition,
-                        Instant aSince) const
+                        LogPosition aPosition) const
 {
+  const auto holders = std::ranges::count_if(mKnowledge, [&](const auto& it) {
+    const auto& status = it.second.mStatus;
+    return status && status->mRole == Role::Replica &&
+           status->mTerm == aPrimary.mTerm && status->mReceived >= aPosition;
+  });
   return aPrimary.mTerm == mHighestTerm &&
-         std::ranges::any_of(mKnowledge, [&](const auto& it) {
-           const auto& status = it.second.mStatus;
-           return status && status->mAskedAt >= aSince &&
-                  Proves(*status, aPrimary.mTerm) &&
-                  status->mReceived >= aPosition;
+         static_cast<size_t>(holders) + 1 >= MajorityOf(GroupSize());
+}
+
+bool
+GroupView::IsUnchallenged(const PrimaryOfGroup& aPrimary, Instant aSince) const
+{
+  return aPrimary.mTerm == mHighestTerm && mMembers.size() >= GroupSize() &&
+         std::ranges::all_of(mMembers, [&](const auto& it) {
+           const auto* status = StatusOf(it.mName);
+           return it.mName == aPrimary.mName ||
+                  (status && status->mRole == Role::Replica &&
+                   status->mTerm == aPrimary.mTerm &&
+                   status->mFencedTerm <= aPrimary.mTerm &&
+                   status->mAskedAt >= aSince);
          });
 }
 
@@ -188,7 +222,6 @@
 {
   mPrimary.clear();
   mSamples.clear();
-  mEvidenceAskedAt.reset();
 }
 
 void
@@ -207,8 +240,12 @@
 void
 GroupView::RecordFrontiers()
 {
+  const auto primary = Primary();
+  if (!primary) {
+    return;
+  }
   std::erase_if(mSamples, [&](const auto& it) {
-    if (!mEvidenceAskedAt || it.mAskedAt > *mEvidenceAskedAt) {
+    if (!IsUnreplaced(*primary, it.mAskedAt)) {
       return false;
     }
     mFrontiers.Record({ it.mPosition, it.mAskedAt });
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -56,10 +56,13 @@
 /// the platform: roles, terms, positions, and the evidence that the primary has
 /// not been replaced.
 ///
-/// The evidence rests on the order that a promotion keeps: all members but one
-/// are fenced before it. So a replica that is in the primary's term and not
-/// fenced, asked at some instant, proves that no promotion had begun to take
-/// effect before that instant without the primary itself being fenced.
+/// Evidence rests on majorities. A write is acknowledged only when a majority
+/// of the group, the primary included, is known to hold it in the primary's
+/// term, or when every other member was seen to be a replica in that term after
+/// the commit. A replica receives nothing from a primary once another was
+/// promoted, so what it received was committed before. Enough replicas that are
+/// in the primary's term, asked at some instant, prove that no later primary
+/// had acknowledged anything before that instant, because the majorities meet.
 ///
 /// A value without clock or socket. Thread safety: one thread.
 class GroupView
@@ -96,13 +99,18 @@
   /// Whether the last attempt to reach a database failed.
   bool IsFailing(const std::string& aName) const;
 
-  /// Whether evidence asked for at or after aSince shows that aPrimary had not
-  /// been replaced.
+  /// A refusal that shows that a database lives without telling its state.
+  void ObserveContact(const std::string& aName, Instant aNow);
+
+  /// Whether enough replicas, asked at or after aSince, were in the term of
+  /// aPrimary: no other primary had acknowledged anything before aSince.
   bool IsUnreplaced(const PrimaryOfGroup& aPrimary, Instant aSince) const;
-  /// Whether a replica that proves this also held aPosition.
+  /// Whether a majority holds aPosition in the term of aPrimary.
   bool IsReplicated(const PrimaryOfGroup& aPrimary,
-                    LogPosition aPosition,
-                    Instant aSince) const;
+                    LogPosition aPosition) const;
+  /// Whether every other member, asked at or after aSince, was a replica in the
+  /// term of aPrimary and not fenced: nothing had been promoted by then.
+  bool IsUnchallenged(const PrimaryOfGroup& aPrimary, Instant aSince) const;
 
   /// Positions that include every write acknowledged before their instant.
   const FrontierHistory& Frontiers() const { return mFrontiers; }
@@ -121,18 +129,23 @@
     Instant mAskedAt;
   };
 
+  /// The size that majorities are counted of: a group that was seen whole does
+  /// not shrink below it because entries are missing.
+  size_t GroupSize() const;
+  size_t CountFollowers(uint64_t aTerm, Instant aSince) const;
   void AddSample(LogPosition aPosition, Instant aAskedAt);
   void RecordFrontiers();
   void ForgetPrimary();
-  bool Proves(const ReplicationStatus& aStatus, uint64_t aTerm) const;
+
+  /// Groups are at least this large once they were.
+  static constexpr size_t kUsualSize = 3;
 
   std::vector<GroupMember> mMembers;
+  size_t mLargestSize = 0;
   std::map<std::string, Knowledge> mKnowledge;
   uint64_t mHighestTerm = 0;
   std::string mPrimary;
   std::deque<Sample> mSamples;
-  /// When the latest evidence for the present primary was asked for.
-  std::optional<Instant> mEvidenceAskedAt;
   FrontierHistory mFrontiers;
 };
 
--- a/Libraries/LibDecision/RelayRouting.cpp
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -16,7 +16,8 @@
   const auto penalty =
     aCandidate.mIsSameDomain ? Duration{} : aSettings.mDomainPreference;
   return aCandidate.mServiceTime * (1 + waiting) +
-         aCandidate.mServiceTime * (aCandidate.mInFlight % slots) / (2 * slots) +
+         aCandidate.mServiceTime * (aCandidate.mInFlight % slots) /
+           (2 * slots) +
          penalty;
 }
 
@@ -90,9 +91,8 @@
       isAnyFull = true;
       continue;
     }
-    const auto preference = isPrimary && !isPrimaryOnly
-                              ? aSettings.mReplicaPreference
-                              : Duration{};
+    const auto preference =
+      isPrimary && !isPrimaryOnly ? aSettings.mReplicaPreference : Duration{};
     best.Offer(it, ExpectedTime(candidate, aSettings) + preference);
   }
   RelayChoice choice;
--- a/Libraries/LibDecision/TakeoverMachine.cpp
+++ b/Libraries/LibDecision/TakeoverMachine.cpp
@@ -36,26 +36,39 @@
   return std::exchange(mActions, {});
 }
 
+std::string
+TakeoverMachine::PresumedPrimary(const GroupView& aView) const
+{
+  if (const auto primary = aView.Primary()) {
+    return primary->mName;
+  }
+  // A status is newer than the directory.
+  const auto it =
+    std::ranges::find_if(aView.Members(), [&](const auto& member) {
+      return member.mListedRole == Role::Primary &&
+             !aView.StatusOf(member.mName);
+    });
+  return it != aView.Members().end() ? it->mName : std::string();
+}
+
 void
 TakeoverMachine::ObserveSilence(const GroupView& aView, Instant aNow)
 {
   const auto since = mLastTick ? aNow - *mLastTick : Duration{};
   mLastTick = aNow;
   const auto elapsed = std::min(since, mSettings.mMaxTick);
-  const auto primary = aView.Primary();
-  if (!primary) {
+  const auto primary = PresumedPrimary(aView);
+  if (primary.empty()) {
     mNoPrimaryFor += elapsed;
     mSilentFor = {};
-    mSilentPrimary.clear();
   } else {
     mNoPrimaryFor = {};
-    const auto contact = aView.LastContact(primary->mName);
+    const auto contact = aView.LastContact(primary);
     const bool isHeard = contact && aNow - *contact <= since;
-    mSilentFor = isHeard || mSilentPrimary != primary->mName
-                   ? Duration{}
-                   : mSilentFor + elapsed;
-    mSilentPrimary = primary->mName;
+    mSilentFor =
+      isHeard || mSilentPrimary != primary ? Duration{} : mSilentFor + elapsed;
   }
+  mSilentPrimary = primary;
   if (std::max(mSilentFor, mNoPrimaryFor) < mSettings.mWitnessFrom) {
     mWitness.reset();
   }
@@ -101,14 +114,14 @@
   }
   mCause = cause;
   mState = State::Acquiring;
-  const auto primary = aView.Primary();
-  mOldPrimary = primary ? primary->mName : std::string();
-  Note("suspected", "silence " +
-                      std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                          silence)
-                          .count()) +
-                      " ms");
+  mOldPrimary = mSilentPrimary;
+  mSuccessor.clear();
+  Note("suspected",
+       "silence " +
+         std::to_string(
+           std::chrono::duration_cast<std::chrono::milliseconds>(silence)
+             .count()) +
+         " ms");
   mActions.push_back(AcquireDuty{});
 }
 
@@ -118,23 +131,24 @@
   const auto& members = aView.Members();
   const bool hasSuccessor = std::ranges::any_of(members, [&](const auto& it) {
     return !it.mIsLeaving && !aView.IsFailing(it.mName) &&
-           aView.StatusOf(it.mName) &&
-           (!aView.Primary() || it.mName != aView.Primary()->mName);
+           aView.StatusOf(it.mName) && it.mName != mSilentPrimary;
   });
   if (!hasSuccessor) {
     return std::nullopt;
   }
-  const auto primary = aView.Primary();
-  if (!primary) {
+  if (mSilentPrimary.empty()) {
     return mNoPrimaryFor >= mSettings.mNoPrimary
              ? std::optional(TakeoverCause::NoPrimary)
              : std::nullopt;
   }
-  if (mSilentFor >= mSettings.mSilence) {
+  const auto limit = aView.LastContact(mSilentPrimary)
+                       ? mSettings.mSilence
+                       : mSettings.mFirstContact;
+  if (mSilentFor >= limit) {
     return TakeoverCause::PrimarySilent;
   }
-  const auto* member = aView.FindMember(primary->mName);
-  if (member && member->mIsLeaving) {
+  const auto* member = aView.FindMember(mSilentPrimary);
+  if (member && member->mIsLeaving && aView.Primary()) {
     return TakeoverCause::PrimaryLeaving;
   }
   return std::nullopt;
@@ -178,8 +192,7 @@
   }
   mCause = cause.value_or(TakeoverCause::StrayFence);
   mOldTerm = aView.HighestTerm();
-  const auto primary = aView.Primary();
-  mOldPrimary = primary ? primary->mName : std::string();
+  mOldPrimary = mSilentPrimary;
   if (*mCause == TakeoverCause::StrayFence) {
     Finish(aView, aNow, "released");
     return;
@@ -193,36 +206,74 @@
   SendFences(aView, aNow);
 }
 
+/// In a planned change replicas stay unfenced as long as a majority can be had
+/// with the successor only.
+bool
+TakeoverMachine::WantsFence(const GroupView& aView,
+                            const GroupMember& aMember) const
+{
+  if (aMember.mName == mOldPrimary || aMember.mName == mSuccessor) {
+    return false;
+  }
+  if (mSuccessor.empty()) {
+    return true;
+  }
+  const auto& members = aView.Members();
+  auto spared = MajorityOf(members.size()) - 2;
+  for (const auto& it : members) {
+    if (it.mName == mOldPrimary || it.mName == mSuccessor) {
+      continue;
+    }
+    if (it.mName == aMember.mName) {
+      return spared == 0;
+    }
+    spared -= spared > 0 ? 1 : 0;
+  }
+  return true;
+}
+
 void
 TakeoverMachine::SendFences(const GroupView& aView, Instant aNow)
 {
   mNextAsk = aNow + mSettings.mAskInterval;
   for (const auto& it : aView.Members()) {
-    if (IsGranted(aView, it) || it.mName == mSuccessor) {
-      continue;
-    }
-    if (it.mName == mOldPrimary) {
-      if (*mCause != TakeoverCause::PrimaryLeaving) {
-        mActions.push_back(
-          CommandMember{ it.mName, ControlCommand::StepDown, mFenceTerm });
-      }
-      continue;
+    if (WantsFence(aView, it) && !IsGranted(aView, it)) {
+      mActions.push_back(
+        CommandMember{ it.mName, ControlCommand::Fence, mFenceTerm });
     }
+  }
+  if (*mCause != TakeoverCause::PrimaryLeaving && !mOldPrimary.empty()) {
     mActions.push_back(
-      CommandMember{ it.mName, ControlCommand::Fence, mFenceTerm });
+      CommandMember{ mOldPrimary, ControlCommand::StepDown, mFenceTerm });
   }
   Note("fencing");
 }
 
-/// A member that can neither lead the old term nor give evidence in it.
 bool
 TakeoverMachine::IsGranted(const GroupView& aView,
                            const GroupMember& aMember) const
 {
   const auto* status = aView.StatusOf(aMember.mName);
-  return status && status->mRole != Role::Primary &&
-         (status->mFencedTerm >= mFenceTerm ||
-          (aMember.mName == mOldPrimary && status->mAskedAt >= mStepBegan));
+  return status && status->mRole == Role::Replica &&
+         status->mFencedTerm >= mFenceTerm;
+}
+
+bool
+TakeoverMachine::HasEnoughFences(const GroupView& aView) const
+{
+  const auto& members = aView.Members();
+  const auto count = [&](auto aCondition) {
+    return static_cast<size_t>(std::ranges::count_if(members, aCondition));
+  };
+  const auto granted =
+    count([&](const auto& it) { return IsGranted(aView, it); });
+  if (!mSuccessor.empty()) {
+    return granted >=
+           count([&](const auto& it) { return WantsFence(aView, it); });
+  }
+  const auto replicas =
+    count([&](const auto& it) { return it.mName != mOldPrimary; });
+  return replicas > 0 && granted >= MajorityOf(replicas);
 }
 
 void
@@ -232,20 +283,11 @@
     Finish(aView, aNow, "superseded");
     return;
   }
-  const auto& members = aView.Members();
-  const auto granted = std::ranges::count_if(
-    members, [&](const auto& it) { return IsGranted(aView, it); });
-  const auto size = static_cast<ptrdiff_t>(members.size());
-  const bool isPlanned = !mSuccessor.empty();
-  // The primary and its successor stay unfenced in a planned change, and one
-  // member may be missing otherwise.
-  const auto needed =
-    isPlanned ? size - 2 : std::max<ptrdiff_t>(size - 1, 1);
-  if (granted >= needed) {
-    if (!isPlanned) {
-      mSuccessor = ChooseSuccessor(aView);
-    }
-    if (!mSuccessor.empty()) {
+  if (HasEnoughFences(aView)) {
+    const auto successor =
+      mSuccessor.empty() ? ChooseSuccessor(aView) : mSuccessor;
+    if (!successor.empty()) {
+      mSuccessor = successor;
       mState = State::Promoting;
       mStepBegan = aNow;
       Order(aNow);
@@ -268,8 +310,7 @@
   const GroupMember* best = nullptr;
   const auto rank = [&](const GroupMember& aMember) {
     const auto* status = aView.StatusOf(aMember.mName);
-    return std::tuple(
-      !aMember.mIsLeaving, status->mReceived, !aMember.mIsCold);
+    return std::tuple(!aMember.mIsLeaving, status->mReceived, !aMember.mIsCold);
   };
   for (const auto& it : aView.Members()) {
     const auto* status = aView.StatusOf(it.mName);
@@ -305,8 +346,8 @@
   if (primary && primary->mTerm > mOldTerm) {
     // The replaced primary would go on taking writes that nobody can confirm.
     if (!mOldPrimary.empty() && mOldPrimary != primary->mName) {
-      mActions.push_back(CommandMember{
-        mOldPrimary, ControlCommand::StepDown, primary->mTerm });
+      mActions.push_back(
+        CommandMember{ mOldPrimary, ControlCommand::StepDown, primary->mTerm });
     }
     mSuccessor = primary->mName;
     Finish(aView, aNow, "promoted");
@@ -381,20 +422,19 @@
   }
   mNextAsk = aNow + mSettings.mAskInterval;
   for (const auto& it : aView.Members()) {
-    mActions.push_back(
-      CommandMember{ it.mName, ControlCommand::AskStatus, 0 });
+    mActions.push_back(CommandMember{ it.mName, ControlCommand::AskStatus, 0 });
   }
 }
 
 void
 TakeoverMachine::Note(const std::string& aStep, const std::string& aDetail)
 {
-  mActions.push_back(NoteTakeover{ aStep,
-                                   mCause.value_or(TakeoverCause::NoPrimary),
-                                   mSuccessor.empty() ? mOldPrimary
-                                                      : mSuccessor,
-                                   mFenceTerm,
-                                   aDetail });
+  mActions.push_back(
+    NoteTakeover{ aStep,
+                  mCause.value_or(TakeoverCause::NoPrimary),
+                  mSuccessor.empty() ? mOldPrimary : mSuccessor,
+                  mFenceTerm,
+                  aDetail });
 }
 
 }
--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -23,6 +23,9 @@
   /// see is this plus the platform's promotion time.
   Duration mSilence = std::chrono::milliseconds(700);
   Duration mNoPrimary = std::chrono::milliseconds(700);
+  /// The same for a primary that this process has not yet reached: connections
+  /// of a predecessor may fill its limit for some seconds.
+  Duration mFirstContact = std::chrono::milliseconds(1800);
   /// Replicas that receive after this much silence show that the primary lives
   /// and only the link of this instance is cut.
   Duration mWitnessFrom = std::chrono::milliseconds(250);
@@ -98,11 +101,11 @@
 /// drives fences, the order and the repair. The view is fed by the caller;
 /// Tick must run at least each mMaxTick.
 ///
-/// Order of a failover: take the duty, fence all members but one, choose the
-/// longest log among the fenced, order its promotion, let the others receive
-/// again. When the primary is only leaving, it serves on until the promotion
-/// takes effect: all are fenced but it and the successor, whose receipt then
-/// confirms each write.
+/// Order of a failover: take the duty, fence enough replicas to meet every
+/// majority that acknowledged a write, choose the longest log among the fenced,
+/// order its promotion, let the others receive again. When the primary is only
+/// leaving, it serves on until the promotion takes effect: so many replicas are
+/// fenced that no majority can be had without the successor.
 ///
 /// Thread safety: one thread.
 class TakeoverMachine
@@ -135,6 +138,11 @@
   void Watch(const GroupView& aView, Instant aNow);
   void ObserveSilence(const GroupView& aView, Instant aNow);
   bool IsWitnessed(const GroupView& aView);
+  /// The primary, or the member that the directory takes for it.
+  std::string PresumedPrimary(const GroupView& aView) const;
+  bool IsGranted(const GroupView& aView, const GroupMember& aMember) const;
+  bool HasEnoughFences(const GroupView& aView) const;
+  bool WantsFence(const GroupView& aView, const GroupMember& aMember) const;
   std::optional<TakeoverCause> FindCause(const GroupView& aView,
                                          Instant aNow) const;
   bool HasStrayFence(const GroupView& aView, Instant aNow);
@@ -147,7 +155,6 @@
   void Order(Instant aNow);
   void Finish(const GroupView& aView, Instant aNow, const std::string& aStep);
   void ResumeFenced(const GroupView& aView);
-  bool IsGranted(const GroupView& aView, const GroupMember& aMember) const;
   std::string ChooseSuccessor(const GroupView& aView) const;
   void AskAll(const GroupView& aView, Instant aNow);
   void Note(const std::string& aStep, const std::string& aDetail = {});
--- a/Libraries/LibRelay/DirectoryView.cpp
+++ b/Libraries/LibRelay/DirectoryView.cpp
@@ -37,10 +37,9 @@
     return removedAt && aNow - *removedAt >= kRemovalDelay;
   });
   std::vector<DirectoryEntry> entries;
-  std::ranges::transform(
-    mEntries, std::back_inserter(entries), [](const auto& it) {
-      return it.second.mEntry;
-    });
+  std::ranges::transform(mEntries,
+                         std::back_inserter(entries),
+                         [](const auto& it) { return it.second.mEntry; });
   return entries;
 }
 
--- a/Libraries/LibRelay/Journey.h
+++ b/Libraries/LibRelay/Journey.h
@@ -33,9 +33,8 @@
   /// Whether the database may have kept something once this was sent.
   bool MayHaveEffect() const
   {
-    return IsCommit() ||
-           (mRequest.mAccess == Access::Write &&
-            mRequest.mMode == TransactionMode::None && !mHold);
+    return IsCommit() || (mRequest.mAccess == Access::Write &&
+                          mRequest.mMode == TransactionMode::None && !mHold);
   }
   bool IsWaiting() const
   {
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -43,23 +43,37 @@
 }
 
 bool
-LinkPool::MayOpen(LinkUse aUse) const
+LinkPool::MayOpen(unsigned aLimit) const
 {
-  const auto limit = mLimit + (aUse == LinkUse::Control ? 1 : 0);
-  return !mIsRetired && mEntries.size() < limit && mClock() >= mRetryAt;
+  return !mIsRetired && mEntries.size() < aLimit && mClock() >= mRetryAt;
+}
+
+size_t
+LinkPool::FreeCount() const
+{
+  return static_cast<size_t>(
+    std::ranges::count_if(mEntries, [](const auto& it) {
+      return !it.mIsLeased && it.mLink->IsClean();
+    }));
 }
 
 bool
-LinkPool::HasFree() const
+LinkPool::HasFree(LinkUse aUse) const
 {
-  return std::ranges::any_of(mEntries, [](const auto& it) {
-    return !it.mIsLeased && it.mLink->IsClean();
-  });
+  const size_t kept =
+    aUse == LinkUse::Transaction && mEntries.size() < mLimit ? 1 : 0;
+  return FreeCount() > kept;
 }
 
 LinkPointer
 LinkPool::Acquire(const SessionState& aSession, LinkUse aUse)
 {
+  if (!HasFree(aUse)) {
+    if (OpeningCount() == 0 && MayOpen(mLimit)) {
+      Open();
+    }
+    return nullptr;
+  }
   Entry* best = nullptr;
   size_t bestDistance = 0;
   for (auto& it : mEntries) {
@@ -72,20 +86,14 @@
       bestDistance = distance;
     }
   }
-  if (best) {
-    best->mIsLeased = true;
-    return best->mLink;
-  }
-  if (OpeningCount() == 0 && MayOpen(aUse)) {
-    Open();
-  }
-  return nullptr;
+  best->mIsLeased = true;
+  return best->mLink;
 }
 
 void
 LinkPool::OpenFresh()
 {
-  if (OpeningCount() == 0 && MayOpen(LinkUse::Control)) {
+  if (OpeningCount() == 0 && MayOpen(mLimit + 1)) {
     Open();
   }
 }
@@ -93,7 +101,8 @@
 void
 LinkPool::Open()
 {
-  const auto link = std::make_shared<UpstreamLink>(mUpstream, mObserver, mClock);
+  const auto link =
+    std::make_shared<UpstreamLink>(mUpstream, mObserver, mClock);
   mEntries.push_back({ link, false });
   const std::weak_ptr weak = link;
   link->Open(mOpener, mGroup, [this, weak](const std::optional<Error>& aError) {
@@ -173,10 +182,9 @@
     const bool isOpening = link->GetState() == UpstreamLink::State::Opening;
     const bool isStuck =
       isOpening && aNow - link->WaitingSince() >= mSettings.mOpenTimeout;
-    const bool isSpare =
-      !it.mIsLeased && link->IsClean() &&
-      (mIsRetired || mEntries.size() > mSettings.mMinimum) &&
-      aNow - link->LastUsedAt() >= mSettings.mIdleTimeout;
+    const bool isSpare = !it.mIsLeased && link->IsClean() &&
+                         (mIsRetired || mEntries.size() > mSettings.mMinimum) &&
+                         aNow - link->LastUsedAt() >= mSettings.mIdleTimeout;
     const bool isUnanswered =
       !it.mIsLeased && link->PendingCount() > 0 &&
       aNow - link->WaitingSince() >= mSettings.mReleaseTimeout;
@@ -194,7 +202,7 @@
     }
   }
   if (mEntries.size() < mSettings.mMinimum && OpeningCount() == 0 &&
-      MayOpen(LinkUse::Statement)) {
+      MayOpen(mLimit)) {
     Open();
   }
 }
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -14,18 +14,19 @@
   Duration mMaxRetryDelay = std::chrono::milliseconds(800);
   /// A connection over the minimum that idles longer is closed, so that other
   /// instances may open one.
-  Duration mIdleTimeout = std::chrono::seconds(8);
+  Duration mIdleTimeout = std::chrono::seconds(3);
   /// Links that are opened ahead of need, within the limit.
-  unsigned mMinimum = 2;
+  unsigned mMinimum = 1;
   /// A rollback that takes longer will not be answered.
   Duration mReleaseTimeout = std::chrono::seconds(2);
 };
 
-/// What a connection is wanted for. Control may exceed the limit by one.
+/// What a connection is wanted for. A transaction holds it while its caller
+/// thinks, so it takes the last one only when no other may be opened.
 enum class LinkUse
 {
   Statement,
-  Control,
+  Transaction,
 };
 
 /// The connections of one instance to one database. Thread safety: one thread.
@@ -43,7 +44,7 @@
   void SetLimit(unsigned aLimit) { mLimit = aLimit; }
 
   /// Whether a link is free now.
-  bool HasFree() const;
+  bool HasFree(LinkUse aUse = LinkUse::Statement) const;
   /// The free link that fits aSession best, or nothing; then one is opened when
   /// the limit allows it, and aOnChange reports that it is ready.
   LinkPointer Acquire(const SessionState& aSession, LinkUse aUse);
@@ -77,7 +78,8 @@
   void Open();
   void OnState(const LinkPointer& aLink, const std::optional<Error>& aError);
   Entry* Find(const LinkPointer& aLink);
-  bool MayOpen(LinkUse aUse) const;
+  bool MayOpen(unsigned aLimit) const;
+  size_t FreeCount() const;
   unsigned OpeningCount() const;
   void Remove(const LinkPointer& aLink);
 
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -11,6 +11,13 @@
 /// Weight of a new observation in the smoothed service time.
 constexpr int kServiceWeight = 8;
 
+LinkUse
+UseOf(const RelayRequest& aRequest)
+{
+  return aRequest.mMode == TransactionMode::None ? LinkUse::Statement
+                                                 : LinkUse::Transaction;
+}
+
 std::string
 ToText(uint64_t aValue)
 {
@@ -61,11 +68,16 @@
                                               mEnvironment.mNow,
                                               [this] { RequestDispatch(); });
     member.mPool->mOnFailure = [this, name = it.mName](const Error& aError) {
-      if (!mView.IsFailing(name)) {
+      if (!mView.IsFailing(name) &&
+          aError.mKind != ErrorKind::ConnectionLimit) {
         Log("upstream.lost",
             { { "upstream", name }, { "error", aError.mMessage } });
       }
-      mView.ObserveFailure(name, mEnvironment.mNow());
+      if (aError.mKind == ErrorKind::ConnectionLimit) {
+        mView.ObserveContact(name, mEnvironment.mNow());
+      } else {
+        mView.ObserveFailure(name, mEnvironment.mNow());
+      }
     };
     Log("member.added",
         { { "upstream", it.mName }, { "domain", it.mFailureDomain } });
@@ -213,13 +225,12 @@
     const auto& member = mMembers.at(it.mName);
     RelayCandidate candidate;
     candidate.mName = it.mName;
-    candidate.mIsAvailable =
-      member.mPool->HasFree() && member.mBusyUntil <= now;
+    candidate.mIsAvailable = member.mPool->HasFree(UseOf(aJourney.mRequest)) &&
+                             member.mBusyUntil <= now;
     candidate.mIsSameDomain = it.mFailureDomain == mEnvironment.mFailureDomain;
     candidate.mIsExcluded =
       aJourney.mExcluded.contains(it.mName) ||
-      (it.mIsLeaving && mView.Primary() &&
-       mView.Primary()->mName != it.mName);
+      (it.mIsLeaving && mView.Primary() && mView.Primary()->mName != it.mName);
     candidate.mInFlight = member.mPool->InUse();
     candidate.mSlots = it.mSlots;
     candidate.mServiceTime = member.mServiceTime;
@@ -256,19 +267,28 @@
   const auto need = NeedOf(aJourney->mRequest);
   const auto choice = ChooseUpstream(need, candidates, mView);
   aJourney->mWaitsFor = choice.mVerdict;
+  if (choice.mVerdict == RelayVerdict::WaitForEvidence) {
+    AskEvidence(mEnvironment.mNow());
+  }
   if (choice.mVerdict == RelayVerdict::WaitForConnection) {
     for (const auto& it : candidates) {
       if (!it.mIsAvailable && !it.mIsExcluded) {
         mMembers.at(it.mName).mPool->Acquire(*aJourney->mRequest.mSession,
-                                             LinkUse::Statement);
+                                             UseOf(aJourney->mRequest));
       }
     }
   }
   if (choice.mVerdict != RelayVerdict::Run) {
     return false;
   }
+  if (choice.mPrimary && !MayRunAt(*choice.mPrimary, aJourney->mRequest)) {
+    aJourney->mWaitsFor = RelayVerdict::WaitForEvidence;
+    AskEvidence(mEnvironment.mNow());
+    return false;
+  }
   auto& pool = *mMembers.at(candidates[choice.mIndex].mName).mPool;
-  auto link = pool.Acquire(*aJourney->mRequest.mSession, LinkUse::Statement);
+  auto link =
+    pool.Acquire(*aJourney->mRequest.mSession, UseOf(aJourney->mRequest));
   if (!link) {
     return false;
   }
@@ -304,8 +324,8 @@
 RelayGroup::Prepare(const ExchangePointer& aExchange)
 {
   const auto& request = aExchange->mJourney->mRequest;
-  const auto commands = aExchange->mLink->Contents().Preparation(
-    *request.mSession, request.mShape);
+  const auto commands =
+    aExchange->mLink->Contents().Preparation(*request.mSession, request.mShape);
   if (commands.empty()) {
     BeginTransaction(aExchange);
     return;
@@ -363,6 +383,12 @@
     FreeLink(aExchange);
     return;
   }
+  if (aExchange->mPrimary && !journey.IsCommit() &&
+      !MayRunAt(*aExchange->mPrimary, request)) {
+    mParked.push_back(aExchange);
+    AskEvidence(mEnvironment.mNow());
+    return;
+  }
   UpstreamCommand command;
   command.mId = request.mStatement.mId;
   command.mText = request.mStatement.mText;
@@ -382,7 +408,40 @@
   aExchange->mLink->Run(command, [=, this](const StatementAnswer& aAnswer) {
     OnStatementAnswer(aExchange, aAnswer);
   });
-  AskEvidence(mEnvironment.mNow());
+}
+
+/// A read must not even run at a primary that was replaced before it arrived.
+bool
+RelayGroup::MayRunAt(const PrimaryOfGroup& aPrimary,
+                     const RelayRequest& aRequest) const
+{
+  const auto since = aRequest.mAccess == Access::Read
+                       ? aRequest.mArrivedAt
+                       : mEnvironment.mNow() - mSettings.mLeadershipAge;
+  return mView.IsUnreplaced(aPrimary, since);
+}
+
+void
+RelayGroup::SendParked()
+{
+  const auto parked = std::exchange(mParked, {});
+  for (const auto& it : parked) {
+    if (it->mJourney->mIsFinished) {
+      continue;
+    }
+    if (!IsReplaced(*it->mPrimary)) {
+      SendStatement(it);
+      continue;
+    }
+    RemoveExchange(it);
+    FreeLink(it);
+    const Error replaced{ ErrorKind::NotPrimary, "the primary was replaced" };
+    if (it->mJourney->mHold) {
+      Refuse(it->mJourney, replaced);
+    } else {
+      Retry(it, replaced);
+    }
+  }
 }
 
 void
@@ -414,16 +473,20 @@
     FreeLink(aExchange);
     return;
   }
-  ++(aExchange->mPrimary ? mCounts.mReadsAtPrimary : mCounts.mReadsAtReplica);
-  if (!aExchange->mPrimary) {
-    if (!aExchange->mHold || journey->IsCommit()) {
-      FreeLink(aExchange);
-      aExchange->mHold.reset();
-    }
-    Finish(journey, aAnswer, aExchange->mHold);
+  const bool isWrittenCommit =
+    journey->IsCommit() && aExchange->mHold && aExchange->mHold->mHasWritten;
+  const bool isLoneWrite =
+    !aExchange->mHold && journey->mRequest.mAccess == Access::Write;
+  if (!aExchange->mHold || journey->IsCommit()) {
+    FreeLink(aExchange);
+    aExchange->mHold.reset();
+  }
+  if (isWrittenCommit || isLoneWrite) {
+    Confirm(journey, aAnswer, *aExchange->mPrimary);
     return;
   }
-  Confirm(journey, aAnswer, aExchange);
+  ++(aExchange->mPrimary ? mCounts.mReadsAtPrimary : mCounts.mReadsAtReplica);
+  Finish(journey, aAnswer, aExchange->mHold);
 }
 
 void
@@ -593,9 +656,10 @@
 RelayGroup::GiveUpAt(const Journey& aJourney) const
 {
   const auto& request = aJourney.mRequest;
-  const auto wait = aJourney.mWaitsFor == RelayVerdict::WaitForConnection
-                      ? std::min(request.mRoute.mTarget, request.mRoute.mTimeout)
-                      : request.mRoute.mTimeout;
+  const auto wait =
+    aJourney.mWaitsFor == RelayVerdict::WaitForConnection
+      ? std::min(request.mRoute.mTarget, request.mRoute.mTimeout)
+      : request.mRoute.mTimeout;
   return request.mAskedAt + wait;
 }
 
@@ -630,9 +694,9 @@
     if (aNow - it->mBegan < journey->mRequest.mRoute.mTimeout) {
       continue;
     }
-    Log("request.unanswered",
-        { { "request", journey->Id() },
-          { "upstream", it->mLink->Upstream() } });
+    Log(
+      "request.unanswered",
+      { { "request", journey->Id() }, { "upstream", it->mLink->Upstream() } });
     const bool isRead = !journey->MayHaveEffect() && !it->mHold &&
                         !journey->mIsFinished && !journey->mIsConfirming;
     if (isRead && journey->mInFlight == 1) {
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -17,15 +17,19 @@
   /// How long a commit waits for a replica to have received it where the
   /// configuration asks for none; evidence that the primary still leads is
   /// needed in any case.
-  Duration mReplicationWait = std::chrono::milliseconds(150);
+  Duration mReplicationWait = std::chrono::milliseconds(100);
   /// Between two requests for evidence while somebody waits.
   Duration mEvidenceInterval = std::chrono::milliseconds(4);
   /// A request for evidence that takes longer is put to another replica too.
   Duration mEvidenceTimeout = std::chrono::milliseconds(60);
-  /// How old the newest frontier may grow while aged reads come in.
-  Duration mFrontierRefresh = std::chrono::milliseconds(400);
+  /// How old the newest frontier may grow while aged reads come in; half of
+  /// the smallest age that a route allows.
+  Duration mFrontierRefresh = std::chrono::milliseconds(750);
+  /// A write is sent only to a primary that was seen to lead this recently, so
+  /// that few end in doubt when it does not.
+  Duration mLeadershipAge = std::chrono::milliseconds(1200);
   /// The primary is asked after this much silence, other members less often.
-  Duration mPrimaryProbe = std::chrono::milliseconds(250);
+  Duration mPrimaryProbe = std::chrono::milliseconds(400);
   Duration mMemberProbe = std::chrono::milliseconds(1500);
   Duration mUnknownProbe = std::chrono::milliseconds(150);
   /// An unanswered control command; the connection counts as dead.
@@ -139,10 +143,9 @@
     JourneyPointer mJourney;
     StatementAnswer mAnswer;
     PrimaryOfGroup mPrimary;
-    /// Set for a commit.
-    std::optional<LogPosition> mWritten;
+    LogPosition mWritten;
+    /// When the commit was answered.
     Instant mSince;
-    std::shared_ptr<TransactionHold> mHold;
   };
 
   // Choosing and sending.
@@ -157,6 +160,10 @@
   void Prepare(const ExchangePointer& aExchange);
   void BeginTransaction(const ExchangePointer& aExchange);
   void SendStatement(const ExchangePointer& aExchange);
+  /// Whether a statement may run at the primary now.
+  bool MayRunAt(const PrimaryOfGroup& aPrimary,
+                const RelayRequest& aRequest) const;
+  void SendParked();
   void OnStatementAnswer(const ExchangePointer& aExchange,
                          const StatementAnswer& aAnswer);
   void OnSuccess(const ExchangePointer& aExchange,
@@ -184,12 +191,15 @@
   // Evidence.
   void Confirm(const JourneyPointer& aJourney,
                const StatementAnswer& aAnswer,
-               const ExchangePointer& aExchange);
+               const PrimaryOfGroup& aPrimary);
   void CheckConfirmations();
   bool IsConfirmed(const Confirmation& aConfirmation, Instant aNow) const;
   void FailConfirmation(const Confirmation& aConfirmation);
   void AskEvidence(Instant aNow);
-  bool WantsEvidence(Instant aNow) const;
+  bool WantsEvidence() const;
+  /// How long the oldest commit has waited for evidence.
+  Duration ConfirmingFor(Instant aNow) const;
+  std::vector<std::string> EvidenceOrder(const PrimaryOfGroup& aPrimary) const;
   bool WantsFrontier(Instant aNow) const;
   bool IsReplaced(const PrimaryOfGroup& aPrimary) const;
 
@@ -205,6 +215,7 @@
                        const ControlCall& aCall,
                        const StatementAnswer& aAnswer);
   void ExpireCalls(Instant aNow);
+  void LogStatus(const ReplicationStatus& aStatus) const;
   void SetConnectionLimit(const ReplicationStatus& aStatus);
   void RunTakeover(Instant aNow);
   void Log(const std::string& aEvent,
@@ -223,6 +234,8 @@
   /// Exchanges under way, also those whose journey has ended.
   std::list<ExchangePointer> mExchanges;
   std::list<Confirmation> mConfirmations;
+  /// Reads of open transactions that wait for evidence before they are sent.
+  std::list<ExchangePointer> mParked;
   Instant mNextEvidence;
   Instant mFrontierWantedUntil;
   RelayCounts mCounts;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -12,7 +12,10 @@
                                        CommandForm::Fence,
                                        CommandForm::StepDown,
                                        CommandForm::Resume };
-constexpr std::array kCommandNames = { "status", "fence", "stepdown", "resume" };
+constexpr std::array kCommandNames = { "status",
+                                       "fence",
+                                       "stepdown",
+                                       "resume" };
 constexpr std::array kCauseNames = { "primary-silent",
                                      "no-primary",
                                      "primary-leaving",
@@ -31,29 +34,15 @@
 void
 RelayGroup::Confirm(const JourneyPointer& aJourney,
                     const StatementAnswer& aAnswer,
-                    const ExchangePointer& aExchange)
+                    const PrimaryOfGroup& aPrimary)
 {
-  Confirmation confirmation;
-  confirmation.mJourney = aJourney;
-  confirmation.mAnswer = aAnswer;
-  confirmation.mPrimary = *aExchange->mPrimary;
-  confirmation.mSince = aJourney->mRequest.mArrivedAt;
-  confirmation.mHold = aExchange->mHold;
-  const bool isWrittenCommit =
-    aJourney->IsCommit() && aExchange->mHold && aExchange->mHold->mHasWritten;
-  const bool isLoneWrite =
-    !aExchange->mHold && aJourney->mRequest.mAccess == Access::Write;
-  if (isWrittenCommit || isLoneWrite) {
-    ++mCounts.mWrites;
-    confirmation.mWritten = aAnswer.mPosition.value_or(LogPosition());
-    confirmation.mSince = mEnvironment.mNow();
-  }
-  if (!aExchange->mHold || aJourney->IsCommit()) {
-    FreeLink(aExchange);
-    confirmation.mHold.reset();
-  }
+  ++mCounts.mWrites;
   aJourney->mIsConfirming = true;
-  mConfirmations.push_back(std::move(confirmation));
+  mConfirmations.push_back({ aJourney,
+                             aAnswer,
+                             aPrimary,
+                             aAnswer.mPosition.value_or(LogPosition()),
+                             mEnvironment.mNow() });
   CheckConfirmations();
   AskEvidence(mEnvironment.mNow());
 }
@@ -61,15 +50,13 @@
 bool
 RelayGroup::IsConfirmed(const Confirmation& aConfirmation, Instant aNow) const
 {
-  const auto& [journey, answer, primary, written, since, hold] = aConfirmation;
-  if (!written) {
-    return mView.IsUnreplaced(primary, since);
-  }
+  const auto& primary = aConfirmation.mPrimary;
   const bool mayGoUnreplicated =
     mConfiguration.mSyncReplicas == 0 &&
-    aNow - since >= mSettings.mReplicationWait;
-  return mView.IsReplicated(primary, *written, since) ||
-         (mayGoUnreplicated && mView.IsUnreplaced(primary, since));
+    aNow - aConfirmation.mSince >= mSettings.mReplicationWait;
+  return mView.IsReplicated(primary, aConfirmation.mWritten) ||
+         (mayGoUnreplicated &&
+          mView.IsUnchallenged(primary, aConfirmation.mSince));
 }
 
 void
@@ -93,34 +80,14 @@
   });
   for (const auto& it : confirmed) {
     it.mJourney->mIsConfirming = false;
-    Finish(it.mJourney, it.mAnswer, it.mHold);
+    Finish(it.mJourney, it.mAnswer);
   }
-  std::ranges::for_each(failed, [this](const auto& it) { FailConfirmation(it); });
-}
-
-void
-RelayGroup::FailConfirmation(const Confirmation& aConfirmation)
-{
-  const auto& journey = aConfirmation.mJourney;
-  journey->mIsConfirming = false;
-  if (aConfirmation.mHold) {
-    Abandon(aConfirmation.mHold);
-  }
-  if (aConfirmation.mWritten) {
-    Refuse(journey,
-           { ErrorKind::OutcomeUnknown, "no evidence that the primary leads" });
-    return;
-  }
-  const Error replaced{ ErrorKind::NotPrimary, "the primary was replaced" };
-  const bool isFresh =
-    journey->mRequest.mMode == TransactionMode::None && !journey->mHold;
-  if (isFresh && IsReplaced(aConfirmation.mPrimary) &&
-      mEnvironment.mNow() < GiveUpAt(*journey)) {
-    journey->mLastRefusal = replaced;
-    RequestDispatch();
-    return;
+  for (const auto& it : failed) {
+    it.mJourney->mIsConfirming = false;
+    Refuse(it.mJourney,
+           { ErrorKind::OutcomeUnknown, "committed, but not confirmed" });
   }
-  Refuse(journey, replaced);
+  SendParked();
 }
 
 bool
@@ -133,58 +100,78 @@
 }
 
 bool
-RelayGroup::WantsEvidence(Instant) const
+RelayGroup::WantsEvidence() const
 {
-  const bool isConfirming =
-    std::ranges::any_of(mConfirmations, [this](const auto& it) {
-      return !mView.IsUnreplaced(it.mPrimary, it.mSince) || it.mWritten;
-    });
-  return isConfirming ||
-         std::ranges::any_of(mExchanges, [this](const auto& it) {
-           return it->mPrimary && !it->mJourney->mIsFinished &&
-                  !mView.IsUnreplaced(*it->mPrimary,
-                                      it->mJourney->mRequest.mArrivedAt);
+  return !mConfirmations.empty() || !mParked.empty() ||
+         std::ranges::any_of(mJourneys, [](const auto& it) {
+           return it->IsWaiting() &&
+                  it->mWaitsFor == RelayVerdict::WaitForEvidence;
          });
 }
 
+Duration
+RelayGroup::ConfirmingFor(Instant aNow) const
+{
+  return mConfirmations.empty() ? Duration{}
+                                : aNow - mConfirmations.front().mSince;
+}
+
+/// The replicas in the order in which they are asked for evidence.
+std::vector<std::string>
+RelayGroup::EvidenceOrder(const PrimaryOfGroup& aPrimary) const
+{
+  std::vector<std::pair<std::tuple<bool, bool, Duration>, std::string>> ranked;
+  for (const auto& it : mView.Members()) {
+    const auto* status = mView.StatusOf(it.mName);
+    if (it.mName == aPrimary.mName || mView.IsFailing(it.mName) ||
+        (status && status->mFencedTerm > aPrimary.mTerm)) {
+      continue;
+    }
+    const auto& member = mMembers.at(it.mName);
+    ranked.push_back({ { !member.mPool->HasFree(),
+                         it.mFailureDomain != mEnvironment.mFailureDomain,
+                         member.mServiceTime },
+                       it.mName });
+  }
+  std::ranges::sort(ranked);
+  std::vector<std::string> names;
+  std::ranges::transform(ranked, std::back_inserter(names), [](const auto& it) {
+    return it.second;
+  });
+  return names;
+}
+
 void
 RelayGroup::AskEvidence(Instant aNow)
 {
   const bool wantsFrontier = WantsFrontier(aNow);
-  if (aNow < mNextEvidence || (!wantsFrontier && !WantsEvidence(aNow))) {
-    return;
-  }
   const auto primary = mView.Primary();
-  if (!primary) {
+  if (!primary || aNow < mNextEvidence ||
+      (!wantsFrontier && !WantsEvidence())) {
     return;
   }
-  const GroupMember* best = nullptr;
-  const auto rank = [&](const GroupMember& aMember) {
-    return std::tuple(!mMembers.at(aMember.mName).mPool->HasFree(),
-                      aMember.mFailureDomain != mEnvironment.mFailureDomain,
-                      mMembers.at(aMember.mName).mServiceTime);
-  };
-  for (const auto& it : mView.Members()) {
-    const auto* status = mView.StatusOf(it.mName);
-    const auto& calls = mMembers.at(it.mName).mCalls;
-    if (it.mName == primary->mName || mView.IsFailing(it.mName) ||
-        (status && status->mFencedTerm > primary->mTerm)) {
-      continue;
-    }
-    if (!calls.empty() &&
-        aNow - calls.front().mAskedAt < mSettings.mEvidenceTimeout) {
-      return;
-    }
-    if (calls.empty() && (!best || rank(it) < rank(*best))) {
-      best = &it;
-    }
-  }
+  const auto waited = ConfirmingFor(aNow);
+  const auto size = mView.Members().size();
+  // Replicas that are slow to receive are asked less and less often, and then
+  // all of them.
+  auto wanted = waited >= mSettings.mReplicationWait / 2
+                  ? size
+                  : std::max<size_t>(size - MajorityOf(size), 1);
+  mNextEvidence = aNow + std::max(mSettings.mEvidenceInterval, waited / 2);
   if (wantsFrontier && !mMembers.at(primary->mName).IsAsked()) {
     SendCommand({ primary->mName, ControlCommand::AskStatus, 0 });
   }
-  if (best) {
-    mNextEvidence = aNow + mSettings.mEvidenceInterval;
-    SendCommand({ best->mName, ControlCommand::AskStatus, 0 });
+  for (const auto& it : EvidenceOrder(*primary)) {
+    const auto& calls = mMembers.at(it).mCalls;
+    if (wanted == 0) {
+      return;
+    }
+    if (calls.empty()) {
+      SendCommand({ it, ControlCommand::AskStatus, 0 });
+      --wanted;
+    } else if (aNow - calls.front().mAskedAt < mSettings.mEvidenceTimeout) {
+      --wanted;
+    }
   }
 }
 
@@ -205,8 +192,9 @@
                           : isPrimary ? mSettings.mPrimaryProbe
                                       : mSettings.mMemberProbe;
     const auto* status = mView.StatusOf(name);
-    const auto last =
-      isPrimary ? contact : (status ? std::optional(status->mAskedAt) : contact);
+    const auto last = isPrimary
+                        ? contact
+                        : (status ? std::optional(status->mAskedAt) : contact);
     if (last && !isUnknown && aNow - *last < interval) {
       it.mNextProbe = *last + interval;
       continue;
@@ -239,7 +227,7 @@
   const SessionState none;
   for (auto& [name, it] : mMembers) {
     while (!it.mCommands.empty()) {
-      const auto link = it.mPool->Acquire(none, LinkUse::Control);
+      const auto link = it.mPool->Acquire(none, LinkUse::Statement);
       if (!link) {
         break;
       }
@@ -286,11 +274,12 @@
   auto status = mProtocol->StatusOf(aAnswer);
   if (status.IsError()) {
     if (aCommand.mCommand != ControlCommand::AskStatus) {
-      Log("command.refused",
-          { { "upstream", aName },
-            { "command", kCommandNames[static_cast<size_t>(aCommand.mCommand)] },
-            { "term", std::to_string(aCommand.mTerm) },
-            { "error", status.GetError().mMessage } });
+      Log(
+        "command.refused",
+        { { "upstream", aName },
+          { "command", kCommandNames[static_cast<size_t>(aCommand.mCommand)] },
+          { "term", std::to_string(aCommand.mTerm) },
+          { "error", status.GetError().mMessage } });
     }
     return;
   }
@@ -298,6 +287,7 @@
   known.mUpstream = aName;
   known.mAskedAt = aCall.mAskedAt;
   SetConnectionLimit(known);
+  LogStatus(known);
   const auto before = mView.Primary();
   mView.ObserveStatus(known, mEnvironment.mNow());
   if (const auto primary = mView.Primary(); primary != before) {
@@ -311,6 +301,26 @@
   Dispatch();
 }
 
+/// One line for each change of role, term or fence.
+void
+RelayGroup::LogStatus(const ReplicationStatus& aStatus) const
+{
+  const auto* before = mView.StatusOf(aStatus.mUpstream);
+  if (before && before->mRole == aStatus.mRole &&
+      before->mTerm == aStatus.mTerm &&
+      before->mFencedTerm == aStatus.mFencedTerm) {
+    return;
+  }
+  Log("member.status",
+      { { "upstream", aStatus.mUpstream },
+        { "role", aStatus.mRole == Role::Primary ? "primary" : "replica" },
+        { "term", std::to_string(aStatus.mTerm) },
+        { "fencedTerm", std::to_string(aStatus.mFencedTerm) },
+        { "received",
+          std::to_string(aStatus.mReceived.mTerm) + "." +
+            std::to_string(aStatus.mReceived.mOffset) } });
+}
+
 void
 RelayGroup::SetConnectionLimit(const ReplicationStatus& aStatus)
 {
@@ -329,8 +339,9 @@
       if (aNow - call.mAskedAt < mSettings.mControlTimeout) {
         continue;
       }
-      std::erase_if(it.mCalls,
-                    [&](const auto& other) { return other.mLink == call.mLink; });
+      std::erase_if(it.mCalls, [&](const auto& other) {
+        return other.mLink == call.mLink;
+      });
       it.mPool->Discard(call.mLink);
       mView.ObserveFailure(name, aNow);
     }
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -50,11 +50,11 @@
   const bool isEnd = aStatement.mForm == StatementForm::Commit ||
                      aStatement.mForm == StatementForm::Rollback;
   if (mPhase == Phase::Failed && !isEnd) {
-    Fail(mFailure.mKind == ErrorKind::BadInput
-           ? Error{ ErrorKind::BadInput, "the transaction has failed" }
-           : std::exchange(mFailure,
-                           { ErrorKind::BadInput,
-                             "the transaction has failed" }));
+    Fail(
+      mFailure.mKind == ErrorKind::BadInput
+        ? Error{ ErrorKind::BadInput, "the transaction has failed" }
+        : std::exchange(mFailure,
+                        { ErrorKind::BadInput, "the transaction has failed" }));
     return;
   }
   (this->*entry->mHandle)(aStatement);
@@ -124,8 +124,8 @@
     mMode = TransactionMode::None;
   }
   auto request = MakeRequest(aStatement);
-  request.mAccess = aStatement.mForm == StatementForm::Write ? Access::Write
-                                                             : Access::Read;
+  request.mAccess =
+    aStatement.mForm == StatementForm::Write ? Access::Write : Access::Read;
   if (aStatement.mForm == StatementForm::ExecutePrepared) {
     const auto it = mState->mPrepared.find(aStatement.mName);
     if (it == mState->mPrepared.end()) {
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -12,9 +12,7 @@
   using Responder = std::function<void(const StatementAnswer&)>;
 
   /// aRespond is called once for each statement, possibly within Handle.
-  RelaySession(RelayRouter& aRouter,
-               std::string aDatabase,
-               Responder aRespond);
+  RelaySession(RelayRouter& aRouter, std::string aDatabase, Responder aRespond);
   ~RelaySession();
 
   /// Precondition: the previous statement has been answered.
--- a/Libraries/LibRelay/SessionState.cpp
+++ b/Libraries/LibRelay/SessionState.cpp
@@ -59,8 +59,7 @@
     }
   }
   if (aShape && (isReset || !mPrepared.contains(*aShape))) {
-    commands.push_back(
-      PrepareCommand(*aShape, isReset ? 0 : mPrepared.size()));
+    commands.push_back(PrepareCommand(*aShape, isReset ? 0 : mPrepared.size()));
   }
   return commands;
 }
--- a/Libraries/LibRelay/UpstreamChannel.h
+++ b/Libraries/LibRelay/UpstreamChannel.h
@@ -30,9 +30,9 @@
 
 /// Opens a channel to a database of a group. Events never arrive before the
 /// call has returned.
-using ChannelOpener = std::function<std::unique_ptr<UpstreamChannel>(
-  const std::string& aGroup,
-  const std::string& aUpstream,
-  ChannelEvents aEvents)>;
+using ChannelOpener =
+  std::function<std::unique_ptr<UpstreamChannel>(const std::string& aGroup,
+                                                 const std::string& aUpstream,
+                                                 ChannelEvents aEvents)>;
 
 }
--- a/Services/Papayalined/Relay/CallerConnection.cpp
+++ b/Services/Papayalined/Relay/CallerConnection.cpp
@@ -79,22 +79,21 @@
 CallerConnection::Handle(const CallerMessage& aMessage)
 {
   const Error early{ ErrorKind::BadInput, "no session is open" };
-  std::visit(
-    Overloaded{
-      [&](const SessionOpening& it) { Open(it); },
-      [&](const SessionEnd&) { Close(); },
-      [&](const CallerStatement& it) {
-        mSession ? mSession->Handle(it) : Fatal(early);
-      },
-      [&](const InputError& it) {
-        if (it.mIsFatal || !mSession) {
-          Fatal(it.mError);
-        } else {
-          mSession->HandleInvalid(it.mError);
-        }
-      },
-    },
-    aMessage);
+  std::visit(Overloaded{
+               [&](const SessionOpening& it) { Open(it); },
+               [&](const SessionEnd&) { Close(); },
+               [&](const CallerStatement& it) {
+                 mSession ? mSession->Handle(it) : Fatal(early);
+               },
+               [&](const InputError& it) {
+                 if (it.mIsFatal || !mSession) {
+                   Fatal(it.mError);
+                 } else {
+                   mSession->HandleInvalid(it.mError);
+                 }
+               },
+             },
+             aMessage);
 }
 
 void
--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -17,24 +17,23 @@
            aObjects, [this](const auto& it) { TakeConfiguration(it); });
        },
         [this](const StoredObject& aObject) { TakeConfiguration(aObject); } })
-  , mDirectoryWatcher(
-      aStore,
-      aReader.DirectoryKind(),
-      { [this](const std::vector<StoredObject>& aObjects) {
-         std::vector<std::string> names;
-         for (const auto& it : aObjects) {
-           names.push_back(it.mName.toStdString());
-           TakeEntry(it);
-         }
-         mView.Retain(names, mRouter.Now());
-         mHasDirectory |= !aObjects.empty();
-         Publish();
-       },
-        [this](const StoredObject& aObject) {
-          TakeEntry(aObject);
-          mHasDirectory = true;
-          Publish();
-        } })
+  , mDirectoryWatcher(aStore,
+                      aReader.DirectoryKind(),
+                      { [this](const std::vector<StoredObject>& aObjects) {
+                         std::vector<std::string> names;
+                         for (const auto& it : aObjects) {
+                           names.push_back(it.mName.toStdString());
+                           TakeEntry(it);
+                         }
+                         mView.Retain(names, mRouter.Now());
+                         mHasDirectory |= !aObjects.empty();
+                         Publish();
+                       },
+                        [this](const StoredObject& aObject) {
+                          TakeEntry(aObject);
+                          mHasDirectory = true;
+                          Publish();
+                        } })
 {
 }
 
--- a/Services/Papayalined/Relay/DutyController.cpp
+++ b/Services/Papayalined/Relay/DutyController.cpp
@@ -64,8 +64,7 @@
   }
   mIsAcquiring = true;
   mStore.Get(kKind, kName, [this](const Result<StoredObject>& aObject) {
-    if (aObject.IsError() &&
-        aObject.GetError().mKind != ErrorKind::NotFound) {
+    if (aObject.IsError() && aObject.GetError().mKind != ErrorKind::NotFound) {
       Refuse(mClock() + kRetryDelay, aObject.GetError().mMessage);
       return;
     }
@@ -106,8 +105,8 @@
 DutyController::Refuse(Instant aRetryAt, const std::string& aReason)
 {
   mIsAcquiring = false;
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aRetryAt - mClock());
+  const auto wait =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aRetryAt - mClock());
   Log("duty.refused",
       { { "reason", aReason }, { "retryInMs", std::to_string(wait.count()) } });
   const auto waiting = std::exchange(mWaiting, {});
--- a/Services/Papayalined/Relay/ObjectWatcher.cpp
+++ b/Services/Papayalined/Relay/ObjectWatcher.cpp
@@ -11,8 +11,11 @@
 /// A connection may go silent for good; the next watch then takes over. Short
 /// enough for a change to be in force in time, long enough to cost little.
 constexpr int kWaitMs = 4000;
+/// After a failure the store is asked whether it answers at all; a connection
+/// that was begun during a cut is slow to notice its end.
+constexpr int kProbeWaitMs = 20;
 constexpr auto kRetryDelay = 150ms;
-constexpr auto kMaxRetryDelay = 1200ms;
+constexpr auto kMaxRetryDelay = 600ms;
 constexpr unsigned kMaxDoublings = 3;
 
 }
@@ -43,8 +46,9 @@
 void
 ObjectWatcher::Watch()
 {
+  const auto wait = mFailures > 0 ? kProbeWaitMs : kWaitMs;
   mStore.Watch(
-    mKind, mRevision, kWaitMs, [this](const Result<ObjectBatch>& aBatch) {
+    mKind, mRevision, wait, [this](const Result<ObjectBatch>& aBatch) {
       if (aBatch.IsError()) {
         mIsListed = aBatch.GetError().mKind != ErrorKind::NotFound;
         OnFailure(aBatch.GetError());
--- a/Services/Papayalined/Relay/ObjectWatcher.h
+++ b/Services/Papayalined/Relay/ObjectWatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "LibCore/StructuredLog.h"
 #include "LibConfiguration/Configuration.h"
+#include "LibCore/StructuredLog.h"
 #include "LibPlatform/ObjectStore.h"
 
 #include <QObject>
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -171,10 +171,11 @@
 RelayService::Metrics() const
 {
   QByteArray text;
-  const auto add = [&](const char* aName, const QByteArray& aLabels, uint64_t n) {
-    text += QByteArray("papayaline_") + aName + aLabels + " " +
-            QByteArray::number(quint64(n)) + "\n";
-  };
+  const auto add =
+    [&](const char* aName, const QByteArray& aLabels, uint64_t n) {
+      text += QByteArray("papayaline_") + aName + aLabels + " " +
+              QByteArray::number(quint64(n)) + "\n";
+    };
   add("caller_connections", {}, mCallers.Count());
   mRouter.ForEachGroup([&](const RelayGroup& aGroup) {
     const auto label =
--- a/Services/Papayalined/Relay/SocketChannel.cpp
+++ b/Services/Papayalined/Relay/SocketChannel.cpp
@@ -61,8 +61,8 @@
   });
   const auto onEnd = [=] {
     if (const auto core = weak.lock()) {
-      core->Close({ ErrorKind::Unreachable,
-                    socket->errorString().toStdString() });
+      core->Close(
+        { ErrorKind::Unreachable, socket->errorString().toStdString() });
     }
   };
   QObject::connect(socket, &QTcpSocket::disconnected, socket, onEnd);
@@ -73,8 +73,7 @@
     [=] {
       if (!weak.expired()) {
         socket->connectToHost(
-          QHostAddress(QString::fromStdString(aAddress.mHost)),
-          aAddress.mPort);
+          QHostAddress(QString::fromStdString(aAddress.mHost)), aAddress.mPort);
       }
     },
     Qt::QueuedConnection);
