--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -9,9 +9,11 @@
   /// Above the time of a handshake, far below the silence that a failover
   /// waits for.
   Duration mOpenTimeout = std::chrono::milliseconds(600);
-  /// After a failed attempt; grows to the maximum while attempts fail.
+  /// After a failed attempt; grows to the maximum while attempts fail. Below
+  /// the silence of a primary after which it is replaced: a refused attempt
+  /// shows that it lives.
   Duration mRetryDelay = std::chrono::milliseconds(100);
-  Duration mMaxRetryDelay = std::chrono::milliseconds(800);
+  Duration mMaxRetryDelay = std::chrono::milliseconds(400);
   /// A connection over the minimum that idles longer is closed, so that other
   /// instances may open one.
   Duration mIdleTimeout = std::chrono::seconds(3);
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -66,7 +66,10 @@
                                               *this,
                                               mEnvironment.mOpen,
                                               mEnvironment.mNow,
-                                              [this] { RequestDispatch(); });
+                                              [this] {
+                                                RunWaitingCommands();
+                                                Dispatch();
+                                              });
     member.mPool->mOnFailure = [this, name = it.mName](const Error& aError) {
       if (!mView.IsFailing(name) &&
           aError.mKind != ErrorKind::ConnectionLimit) {
@@ -82,7 +85,7 @@
     Log("member.added",
         { { "upstream", it.mName }, { "domain", it.mFailureDomain } });
   }
-  RequestDispatch();
+  Dispatch();
 }
 
 void
@@ -433,8 +436,8 @@
       SendStatement(it);
       continue;
     }
-    RemoveExchange(it);
     FreeLink(it);
+    RemoveExchange(it);
     const Error replaced{ ErrorKind::NotPrimary, "the primary was replaced" };
     if (it->mJourney->mHold) {
       Refuse(it->mJourney, replaced);
@@ -468,9 +471,9 @@
                       const StatementAnswer& aAnswer)
 {
   const auto journey = aExchange->mJourney;
-  RemoveExchange(aExchange);
   if (journey->mIsFinished || journey->mIsConfirming) {
     FreeLink(aExchange);
+    RemoveExchange(aExchange);
     return;
   }
   const bool isWrittenCommit =
@@ -481,6 +484,7 @@
     FreeLink(aExchange);
     aExchange->mHold.reset();
   }
+  RemoveExchange(aExchange);
   if (isWrittenCommit || isLoneWrite) {
     Confirm(journey, aAnswer, *aExchange->mPrimary);
     return;
@@ -516,13 +520,13 @@
 {
   const auto journey = aExchange->mJourney;
   const auto error = *aAnswer.mError;
-  RemoveExchange(aExchange);
   if (error.mKind == ErrorKind::UpstreamLost) {
     DropLink(aExchange);
   } else {
     NoteRefusal(aExchange, error);
     FreeLink(aExchange);
   }
+  RemoveExchange(aExchange);
   if (journey->mIsFinished || journey->mIsConfirming) {
     return;
   }
@@ -541,8 +545,8 @@
 RelayGroup::OnLost(const ExchangePointer& aExchange)
 {
   const auto journey = aExchange->mJourney;
-  RemoveExchange(aExchange);
   DropLink(aExchange);
+  RemoveExchange(aExchange);
   if (journey->mIsFinished || journey->mIsConfirming) {
     return;
   }
@@ -576,10 +580,11 @@
   if (aReason.mKind == ErrorKind::QueueFull) {
     journey->mNotBefore = mEnvironment.mNow() + mSettings.mBusyDelay;
   }
-  RequestDispatch();
   Dispatch();
 }
 
+/// Call after the connection was given back: that starts what waits, and a
+/// journey without an exchange counts as waiting.
 void
 RelayGroup::RemoveExchange(const ExchangePointer& aExchange)
 {
@@ -700,8 +705,8 @@
     const bool isRead = !journey->MayHaveEffect() && !it->mHold &&
                         !journey->mIsFinished && !journey->mIsConfirming;
     if (isRead && journey->mInFlight == 1) {
-      RemoveExchange(it);
       DropLink(it);
+      RemoveExchange(it);
       Refuse(journey, { ErrorKind::StatementTimeout, "no answer in time" });
     } else {
       OnLost(it);
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -150,7 +150,6 @@
 
   // Choosing and sending.
   void Dispatch();
-  void RequestDispatch() { mIsDispatchDue = true; }
   bool TryStart(const JourneyPointer& aJourney);
   RelayNeed NeedOf(const RelayRequest& aRequest) const;
   std::vector<RelayCandidate> Candidates(const Journey& aJourney) const;
@@ -194,7 +193,6 @@
                const PrimaryOfGroup& aPrimary);
   void CheckConfirmations();
   bool IsConfirmed(const Confirmation& aConfirmation, Instant aNow) const;
-  void FailConfirmation(const Confirmation& aConfirmation);
   void AskEvidence(Instant aNow);
   bool WantsEvidence() const;
   /// How long the oldest commit has waited for evidence.
--- /dev/null
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "LibRelay/RelayRouter.h"
+#include "LibRelay/RelaySession.h"
+
+#include <deque>
+#include <map>
+
+namespace papayaline {
+
+/// Databases of one group in memory, with a clock that the test moves. A
+/// command is answered when the test lets time pass.
+class FakeUpstreams
+{
+public:
+  struct Database
+  {
+    Role mRole = Role::Replica;
+    uint64_t mTerm = 1;
+    LogPosition mReceived{ 1, 10 };
+    LogPosition mApplied{ 1, 10 };
+    uint64_t mFencedTerm = 0;
+    bool mIsReachable = true;
+    /// Runs what it gets, and its answers are lost.
+    bool mIsMute = false;
+    /// Answers the next statements of callers with this error.
+    std::optional<ErrorKind> mRefusal;
+    int mRefusals = 0;
+    /// Whether replicas receive from it, or it from the primary.
+    bool mIsReplicating = true;
+    unsigned mConnections = 0;
+    /// Refuses connections beyond this.
+    unsigned mMaxConnections = 100;
+    /// The statements of callers that ran, in order.
+    std::vector<std::string> mRan;
+    /// Every command that arrived.
+    std::vector<UpstreamCommand> mArrived;
+  };
+
+  FakeUpstreams();
+  ~FakeUpstreams();
+
+  Database& At(const std::string& aName) { return mDatabases.at(aName); }
+  void AddMember(const std::string& aName, Role aRole, bool aIsLeaving = false);
+  void SetLeaving(const std::string& aName);
+  void RemoveMember(const std::string& aName);
+  /// Passes the members to the group.
+  void Publish();
+
+  RelayRouter& Router() { return *mRouter; }
+  RelayGroup& Group() { return *mRouter->FindGroup("g"); }
+  void SetRoute(const RelayRoute& aRoute);
+
+  Instant Now() const { return mNow; }
+  /// Lets time pass in steps of a millisecond, with a tick each 20.
+  void Run(Milliseconds aTime);
+  /// Jumps ahead without running anything, as a suspended machine does.
+  void Suspend(Milliseconds aTime) { mNow += aTime; }
+
+  /// The promotion duty: granted at once while this holds.
+  bool mIsDutyFree = true;
+  std::vector<std::string> mOrders;
+  /// Whether an order takes effect.
+  bool mIsPromoting = true;
+  /// Makes a database lead the next term with what it had received.
+  void Promote(const std::string& aName);
+  std::vector<std::string> mLog;
+
+  /// A session whose answers are collected.
+  struct Caller
+  {
+    std::shared_ptr<RelaySession> mSession;
+    std::vector<StatementAnswer> mAnswers;
+
+    /// Sends a statement in the wire's words.
+    void Say(const std::string& aText);
+    const StatementAnswer& Last() const { return mAnswers.back(); }
+    bool IsAnswered() const { return !mSession->IsBusy(); }
+    std::optional<ErrorKind> LastError() const;
+  };
+  std::unique_ptr<Caller> Connect(const std::string& aDatabase = "db");
+
+private:
+  class Channel;
+  struct Pending
+  {
+    Instant mAt;
+    std::weak_ptr<ChannelEvents> mEvents;
+    std::function<void(ChannelEvents&)> mDeliver;
+  };
+
+  RelayEnvironment MakeEnvironment();
+  StatementAnswer Execute(Database& aDatabase,
+                          const UpstreamCommand& aCommand,
+                          TransactionState& aState);
+  StatementAnswer StatusAnswer(const Database& aDatabase) const;
+  StatementAnswer RunStatement(Database& aDatabase,
+                               const UpstreamCommand& aCommand,
+                               TransactionState& aState);
+  void Replicate();
+  void Deliver(const std::shared_ptr<ChannelEvents>& aEvents,
+               std::function<void(ChannelEvents&)> aDeliver);
+
+  Instant mNow = Instant(std::chrono::hours(1));
+  Instant mNextTick = mNow;
+  std::map<std::string, Database> mDatabases;
+  std::vector<DirectoryEntry> mEntries;
+  std::deque<Pending> mPending;
+  std::optional<DutyGrant> mGrant;
+  std::unique_ptr<RelayRouter> mRouter;
+  RelayConfiguration mConfiguration;
+};
+
+}
--- /dev/null
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -0,0 +1,385 @@
+#include "FakeUpstreams.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace papayaline;
+using namespace std::chrono_literals;
+
+/// Reads, writes and transactions of callers against databases that fail.
+class TestRelayGroup : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestRelayGroup);
+  CPPUNIT_TEST(WriteIsAcknowledgedOnceAReplicaHoldsIt);
+  CPPUNIT_TEST(WriteOnReplacedPrimaryEndsInDoubt);
+  CPPUNIT_TEST(WriteWithoutReplicationIsConfirmedByAllOthers);
+  CPPUNIT_TEST(WriteWithoutReplicationAndOneMemberSilentEndsInDoubt);
+  CPPUNIT_TEST(WriteWhoseAnswerIsLostIsNotRepeated);
+  CPPUNIT_TEST(WriteRefusedForLackOfSlotsIsRepeated);
+  CPPUNIT_TEST(ReadAtPrimaryWaitsForEvidence);
+  CPPUNIT_TEST(ReadAtReplacedPrimaryDoesNotRunThere);
+  CPPUNIT_TEST(AgedReadGoesToReplicaOfSameDomain);
+  CPPUNIT_TEST(AgedReadAtLaggingReplicasGoesToPrimary);
+  CPPUNIT_TEST(OwnReadAfterWriteIncludesIt);
+  CPPUNIT_TEST(ReadWhoseAnswerIsLostIsSentElsewhere);
+  CPPUNIT_TEST(TransactionKeepsItsConnection);
+  CPPUNIT_TEST(TransactionWhoseConnectionEndsIsAborted);
+  CPPUNIT_TEST(CommitWhoseAnswerIsLostEndsInDoubt);
+  CPPUNIT_TEST(TransactionThatIdlesIsRolledBack);
+  CPPUNIT_TEST(EmptyTransactionCommitsAtADatabase);
+  CPPUNIT_TEST(CallerGoneInTransactionLeavesCleanConnection);
+  CPPUNIT_TEST(CallerGoneWhileItsWriteWaitsLeavesItUnsent);
+  CPPUNIT_TEST(SessionValuesAreSetBeforeTheStatement);
+  CPPUNIT_TEST(PreparedStatementIsPreparedOnEachConnection);
+  CPPUNIT_TEST(PreparedStatementClosedIsUnknown);
+  CPPUNIT_TEST(RouteRemovedIsRefusedFromTheNextTransaction);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::unique_ptr<FakeUpstreams> mFake;
+
+  static RelayRoute Aged(Freshness aFreshness)
+  {
+    RelayRoute route;
+    route.mDatabase = "db";
+    route.mGroup = "g";
+    route.mFreshness = aFreshness;
+    route.mMaxAge = 1500ms;
+    return route;
+  }
+
+  size_t RunsOf(const std::string& aText) const
+  {
+    size_t n = 0;
+    for (const auto* it : { "a", "b", "c" }) {
+      n += static_cast<size_t>(
+        std::ranges::count_if(mFake->At(it).mRan, [&](const auto& ran) {
+          return ran.ends_with(aText);
+        }));
+    }
+    return n;
+  }
+
+public:
+  void setUp() override { mFake = std::make_unique<FakeUpstreams>(); }
+  void tearDown() override { mFake.reset(); }
+
+  void WriteIsAcknowledgedOnceAReplicaHoldsIt()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(20ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT_EQUAL(std::string("signed"), caller->Last().mSignature);
+  }
+
+  void WriteOnReplacedPrimaryEndsInDoubt()
+  {
+    mFake->At("a").mIsReplicating = false;
+    mFake->Promote("b");
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(1200ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    const bool isTrue = caller->LastError() == ErrorKind::OutcomeUnknown ||
+                        mFake->At("a").mRan.empty();
+    CPPUNIT_ASSERT(isTrue);
+  }
+
+  void WriteWithoutReplicationIsConfirmedByAllOthers()
+  {
+    mFake->At("a").mIsReplicating = false;
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(50ms);
+    CPPUNIT_ASSERT(!caller->IsAnswered());
+    mFake->Run(200ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
+  void WriteWithoutReplicationAndOneMemberSilentEndsInDoubt()
+  {
+    mFake->At("a").mIsReplicating = false;
+    mFake->At("c").mIsReachable = false;
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(1200ms);
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::OutcomeUnknown);
+  }
+
+  void WriteWhoseAnswerIsLostIsNotRepeated()
+  {
+    auto caller = mFake->Connect();
+    mFake->At("a").mIsMute = true;
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    mFake->At("a").mIsMute = false;
+    mFake->Run(1500ms);
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::OutcomeUnknown);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), RunsOf("WRITE 1 x"));
+  }
+
+  void WriteRefusedForLackOfSlotsIsRepeated()
+  {
+    mFake->At("a").mRefusal = ErrorKind::QueueFull;
+    mFake->At("a").mRefusals = 3;
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(200ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), RunsOf("WRITE 1 x"));
+  }
+
+  void ReadAtPrimaryWaitsForEvidence()
+  {
+    mFake->At("b").mIsMute = true;
+    mFake->At("c").mIsMute = true;
+    auto caller = mFake->Connect();
+    caller->Say("READ 1");
+    mFake->Run(40ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), RunsOf("READ 1"));
+    mFake->Run(1200ms);
+    CPPUNIT_ASSERT(caller->LastError());
+    CPPUNIT_ASSERT(AnswerFor(*caller->LastError()).mOutcome == Outcome::NotRun);
+  }
+
+  void ReadAtReplacedPrimaryDoesNotRunThere()
+  {
+    mFake->At("a").mIsReplicating = false;
+    mFake->Promote("b");
+    mFake->Run(5ms);
+    auto caller = mFake->Connect();
+    caller->Say("READ 1");
+    mFake->Run(300ms);
+    CPPUNIT_ASSERT(mFake->At("a").mRan.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), RunsOf("READ 1"));
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
+  void AgedReadGoesToReplicaOfSameDomain()
+  {
+    mFake->SetRoute(Aged(Freshness::BoundedAge));
+    auto caller = mFake->Connect();
+    caller->Say("READ 1");
+    mFake->Run(50ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->At("b").mRan.size());
+  }
+
+  void AgedReadAtLaggingReplicasGoesToPrimary()
+  {
+    mFake->SetRoute(Aged(Freshness::BoundedAge));
+    for (const auto* it : { "b", "c" }) {
+      mFake->At(it).mIsReplicating = false;
+    }
+    auto writer = mFake->Connect();
+    writer->Say("WRITE 1 x");
+    mFake->Run(3000ms);
+    auto caller = mFake->Connect();
+    caller->Say("READ 1");
+    mFake->Run(100ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT_EQUAL(size_t(2), mFake->At("a").mRan.size());
+  }
+
+  void OwnReadAfterWriteIncludesIt()
+  {
+    mFake->SetRoute(Aged(Freshness::OwnWrites));
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    const auto written = mFake->At("a").mApplied;
+    for (const auto* it : { "b", "c" }) {
+      mFake->At(it).mApplied = { 1, 10 };
+      mFake->At(it).mIsReplicating = false;
+    }
+    caller->Say("READ 1");
+    mFake->Run(100ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT(caller->Last().mPosition >= written);
+  }
+
+  void ReadWhoseAnswerIsLostIsSentElsewhere()
+  {
+    mFake->SetRoute(Aged(Freshness::BoundedAge));
+    auto caller = mFake->Connect();
+    mFake->At("b").mIsMute = true;
+    caller->Say("READ 1");
+    mFake->Run(400ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT_EQUAL(size_t(2), RunsOf("READ 1"));
+  }
+
+  void TransactionKeepsItsConnection()
+  {
+    auto caller = mFake->Connect();
+    auto other = mFake->Connect();
+    caller->Say("BEGIN");
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    other->Say("WRITE 2 y");
+    mFake->Run(60ms);
+    caller->Say("COMMIT");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT(!other->LastError());
+    CPPUNIT_ASSERT(caller->Last().mState == TransactionState::None);
+    // The other's write, in between, left the transaction's state alone.
+    CPPUNIT_ASSERT_EQUAL(uint64_t(12), mFake->At("a").mApplied.mOffset);
+  }
+
+  void TransactionWhoseConnectionEndsIsAborted()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("BEGIN");
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    mFake->At("a").mIsMute = true;
+    caller->Say("WRITE 2 y");
+    mFake->Run(1200ms);
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::UpstreamLost);
+    CPPUNIT_ASSERT(caller->Last().mState == TransactionState::Failed);
+    caller->Say("ROLLBACK");
+    CPPUNIT_ASSERT(caller->Last().mState == TransactionState::None);
+  }
+
+  void CommitWhoseAnswerIsLostEndsInDoubt()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("BEGIN");
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    mFake->At("a").mIsMute = true;
+    caller->Say("COMMIT");
+    mFake->Run(1200ms);
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::OutcomeUnknown);
+    CPPUNIT_ASSERT(caller->Last().mState == TransactionState::None);
+  }
+
+  void TransactionThatIdlesIsRolledBack()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("BEGIN");
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    caller->mSession->ExpireTransaction(mFake->Now() + 4s);
+    caller->Say("COMMIT");
+    mFake->Run(20ms);
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::WriteNotRun);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(10), mFake->At("a").mApplied.mOffset);
+  }
+
+  void EmptyTransactionCommitsAtADatabase()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("BEGIN");
+    caller->Say("COMMIT");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT_EQUAL(std::string("signed"), caller->Last().mSignature);
+  }
+
+  void CallerGoneInTransactionLeavesCleanConnection()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("BEGIN");
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    caller.reset();
+    mFake->Run(20ms);
+    auto other = mFake->Connect();
+    other->Say("WRITE 2 y");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(!other->LastError());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(11), mFake->At("a").mApplied.mOffset);
+  }
+
+  void CallerGoneWhileItsWriteWaitsLeavesItUnsent()
+  {
+    mFake->At("a").mRefusal = ErrorKind::QueueFull;
+    mFake->At("a").mRefusals = 2;
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(4ms);
+    caller.reset();
+    mFake->Run(300ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), RunsOf("WRITE 1 x"));
+  }
+
+  void SessionValuesAreSetBeforeTheStatement()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("SET zone 5");
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    auto other = mFake->Connect();
+    other->Say("WRITE 2 y");
+    mFake->Run(30ms);
+    std::vector<CommandForm> forms;
+    for (const auto& it : mFake->At("a").mArrived) {
+      if (it.mForm != CommandForm::Status) {
+        forms.push_back(it.mForm);
+      }
+    }
+    const std::vector<CommandForm> expected = { CommandForm::SetValue,
+                                                CommandForm::Forward,
+                                                CommandForm::Reset,
+                                                CommandForm::Forward };
+    CPPUNIT_ASSERT(expected == forms);
+  }
+
+  void PreparedStatementIsPreparedOnEachConnection()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("PARSE s1 WRITE q2c");
+    caller->Say("EXECUTE s1 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    const auto& arrived = mFake->At("a").mArrived;
+    const auto prepare = std::ranges::find(
+      arrived, CommandForm::Prepare, &UpstreamCommand::mForm);
+    const auto execute = std::ranges::find(
+      arrived, CommandForm::ForwardPrepared, &UpstreamCommand::mForm);
+    CPPUNIT_ASSERT(prepare != arrived.end() && execute != arrived.end());
+    CPPUNIT_ASSERT(prepare < execute);
+    CPPUNIT_ASSERT_EQUAL(prepare->mName, execute->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("q2c"), prepare->mValue);
+  }
+
+  void PreparedStatementClosedIsUnknown()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("PARSE s1 READ q2c");
+    caller->Say("CLOSE s1");
+    caller->Say("EXECUTE s1 1");
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::NotFound);
+  }
+
+  void RouteRemovedIsRefusedFromTheNextTransaction()
+  {
+    auto caller = mFake->Connect();
+    caller->Say("BEGIN");
+    caller->Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    auto route = Aged(Freshness::Latest);
+    route.mDatabase = "another";
+    mFake->SetRoute(route);
+    caller->Say("COMMIT");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(!caller->LastError());
+    caller->Say("READ 1");
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::UnknownGroup);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRelayGroup);
--- /dev/null
+++ b/Tests/PlatformAdapter/TestDocuments.cpp
@@ -0,0 +1,112 @@
+#include "platform/Documents.h"
+
+#include <QJsonArray>
+#include <QJsonObject>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace papayaline;
+using namespace papayaline::platform;
+
+class TestDocuments : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestDocuments);
+  CPPUNIT_TEST(ConfigurationIsRead);
+  CPPUNIT_TEST(ConfigurationWithUnknownKindOfRouteIsRefused);
+  CPPUNIT_TEST(EntryIsRead);
+  CPPUNIT_TEST(EntriesOfOtherWritersAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+  static QJsonObject Route()
+  {
+    return { { "name", "r-1" },
+             { "database", "lepu270" },
+             { "routeKind", "bounded_staleness" },
+             { "timeoutMs", 2000 },
+             { "targetLatencyMs", 600 },
+             { "priority", 2 },
+             { "backend", "huvo11a" },
+             { "maxStalenessMs", 1500 } };
+  }
+
+  static QJsonObject Document(const QJsonObject& aRoute)
+  {
+    return { { "configVersion", 7 },
+             { "routes", QJsonArray{ aRoute } },
+             { "backends",
+               QJsonArray{ QJsonObject{ { "name", "huvo11a" },
+                                        { "maxConns", 22 },
+                                        { "syncReplicas", 1 } } } },
+             { "limits", QJsonObject{ { "txIdleMs", 2500 } } } };
+  }
+
+  static StoredObject Entry(const QString& aName, const QJsonValue& aValue)
+  {
+    QJsonObject content{ { "backend", "huvo11a" },
+                         { "address", "10.128.0.9:8080" },
+                         { "zone", "tpe-a" },
+                         { "slots", 3 },
+                         { "state", "draining" },
+                         { "coldLeftMs", 0 },
+                         { "dbRole", "primary" },
+                         { "sequence", 4 },
+                         { "born", qint64(1774701556077) } };
+    if (!aName.isEmpty()) {
+      content[aName] = aValue;
+    }
+    return { "i-7f3a91c2", 12, content, false };
+  }
+
+public:
+  void ConfigurationIsRead()
+  {
+    const auto read = Documents().ReadConfiguration(Document(Route()));
+    CPPUNIT_ASSERT(!read.IsError());
+    const auto& configuration = read.Value();
+    CPPUNIT_ASSERT_EQUAL(int64_t(7), configuration.mVersion);
+    const auto* route = configuration.FindRoute("lepu270");
+    CPPUNIT_ASSERT(route && route->mFreshness == Freshness::BoundedAge);
+    CPPUNIT_ASSERT(route->mMaxAge == Milliseconds(1500));
+    CPPUNIT_ASSERT(configuration.mTransactionIdle == Milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(1U, configuration.mGroups.front().mSyncReplicas);
+  }
+
+  void ConfigurationWithUnknownKindOfRouteIsRefused()
+  {
+    auto route = Route();
+    route["routeKind"] = "whatever";
+    CPPUNIT_ASSERT(Documents().ReadConfiguration(Document(route)).IsError());
+  }
+
+  void EntryIsRead()
+  {
+    const auto read = Documents().ReadDirectoryEntry(Entry({}, {}));
+    CPPUNIT_ASSERT(!read.IsError());
+    const auto& member = read.Value().mMember;
+    CPPUNIT_ASSERT_EQUAL(std::string("i-7f3a91c2"), member.mName);
+    CPPUNIT_ASSERT(member.mIsLeaving && member.mListedRole == Role::Primary);
+    CPPUNIT_ASSERT_EQUAL(int64_t(1774701556077), member.mStartedMs);
+  }
+
+  void EntriesOfOtherWritersAreRefused()
+  {
+    struct Case
+    {
+      const char* mField;
+      QJsonValue mValue;
+    };
+    for (const auto& it : { Case{ "backend", 5 },
+                            Case{ "address", "nowhere" },
+                            Case{ "slots", "three" },
+                            Case{ "slots", -1 },
+                            Case{ "state", "resting" },
+                            Case{ "dbRole", QJsonValue::Null } }) {
+      const auto read =
+        Documents().ReadDirectoryEntry(Entry(it.mField, it.mValue));
+      CPPUNIT_ASSERT_MESSAGE(it.mField, read.IsError());
+    }
+    CPPUNIT_ASSERT(
+      Documents().ReadDirectoryEntry({ "i-1", 1, "noise", false }).IsError());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDocuments);
