TakeoverMachine: Ask witnesses only after the primary left a probe unanswered

Change: witnesses after 480 ms; evidence is asked of replicas in the term first, and of all while too few are; summaries and metrics count the causes; idle connections close after 1 s and transactions keep none free.

--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -27,8 +27,9 @@
   /// of a predecessor may fill its limit for some seconds.
   Duration mFirstContact = std::chrono::milliseconds(1800);
   /// Replicas that receive after this much silence show that the primary lives
-  /// and only the link of this instance is cut.
-  Duration mWitnessFrom = std::chrono::milliseconds(250);
+  /// and only the link of this instance is cut. Longer than a healthy primary
+  /// is left unasked.
+  Duration mWitnessFrom = std::chrono::milliseconds(480);
   /// More than this between two ticks is a pause of this process; what it
   /// missed says nothing of the primary.
   Duration mMaxTick = std::chrono::milliseconds(100);
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -57,18 +57,10 @@
     }));
 }
 
-bool
-LinkPool::HasFree(LinkUse aUse) const
-{
-  const size_t kept =
-    aUse == LinkUse::Transaction && mEntries.size() < mLimit ? 1 : 0;
-  return FreeCount() > kept;
-}
-
 LinkPointer
-LinkPool::Acquire(const SessionState& aSession, LinkUse aUse)
+LinkPool::Acquire(const SessionState& aSession)
 {
-  if (!HasFree(aUse)) {
+  if (!HasFree()) {
     if (OpeningCount() == 0 && MayOpen(mLimit)) {
       Open();
     }
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -16,21 +16,13 @@
   Duration mMaxRetryDelay = std::chrono::milliseconds(400);
   /// A connection over the minimum that idles longer is closed, so that other
   /// instances may open one.
-  Duration mIdleTimeout = std::chrono::seconds(3);
+  Duration mIdleTimeout = std::chrono::seconds(1);
   /// Links that are opened ahead of need, within the limit.
   unsigned mMinimum = 1;
   /// A rollback that takes longer will not be answered.
   Duration mReleaseTimeout = std::chrono::seconds(2);
 };
 
-/// What a connection is wanted for. A transaction holds it while its caller
-/// thinks, so it takes the last one only when no other may be opened.
-enum class LinkUse
-{
-  Statement,
-  Transaction,
-};
-
 /// The connections of one instance to one database. Thread safety: one thread.
 class LinkPool
 {
@@ -46,10 +38,10 @@
   void SetLimit(unsigned aLimit) { mLimit = aLimit; }
 
   /// Whether a link is free now.
-  bool HasFree(LinkUse aUse = LinkUse::Statement) const;
+  bool HasFree() const { return FreeCount() > 0; }
   /// The free link that fits aSession best, or nothing; then one is opened when
   /// the limit allows it, and aOnChange reports that it is ready.
-  LinkPointer Acquire(const SessionState& aSession, LinkUse aUse);
+  LinkPointer Acquire(const SessionState& aSession);
   /// Opens another link although some are free: one that went silent can't
   /// tell whether the database lives.
   void OpenFresh();
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -11,13 +11,6 @@
 /// Weight of a new observation in the smoothed service time.
 constexpr int kServiceWeight = 8;
 
-LinkUse
-UseOf(const RelayRequest& aRequest)
-{
-  return aRequest.mMode == TransactionMode::None ? LinkUse::Statement
-                                                 : LinkUse::Transaction;
-}
-
 std::string
 ToText(uint64_t aValue)
 {
@@ -228,8 +221,8 @@
     const auto& member = mMembers.at(it.mName);
     RelayCandidate candidate;
     candidate.mName = it.mName;
-    candidate.mIsAvailable = member.mPool->HasFree(UseOf(aJourney.mRequest)) &&
-                             member.mBusyUntil <= now;
+    candidate.mIsAvailable =
+      member.mPool->HasFree() && member.mBusyUntil <= now;
     candidate.mIsSameDomain = it.mFailureDomain == mEnvironment.mFailureDomain;
     candidate.mIsExcluded =
       aJourney.mExcluded.contains(it.mName) ||
@@ -276,8 +269,7 @@
   if (choice.mVerdict == RelayVerdict::WaitForConnection) {
     for (const auto& it : candidates) {
       if (!it.mIsAvailable && !it.mIsExcluded) {
-        mMembers.at(it.mName).mPool->Acquire(*aJourney->mRequest.mSession,
-                                             UseOf(aJourney->mRequest));
+        mMembers.at(it.mName).mPool->Acquire(*aJourney->mRequest.mSession);
       }
     }
   }
@@ -290,8 +282,7 @@
     return false;
   }
   auto& pool = *mMembers.at(candidates[choice.mIndex].mName).mPool;
-  auto link =
-    pool.Acquire(*aJourney->mRequest.mSession, UseOf(aJourney->mRequest));
+  auto link = pool.Acquire(*aJourney->mRequest.mSession);
   if (!link) {
     return false;
   }
@@ -334,6 +325,7 @@
     return;
   }
   aExchange->mPreparationsLeft = commands.size();
+  mCounts.mPreparations += commands.size();
   for (const auto& it : commands) {
     aExchange->mLink->Run(it, [=, this](const StatementAnswer& aAnswer) {
       aExchange->mHasPreparationFailed |= aAnswer.mError.has_value();
@@ -502,7 +494,7 @@
   if (aError.mKind == ErrorKind::NotPrimary) {
     Log("primary.denied", { { "upstream", name } });
     mView.ObserveNotPrimary(name);
-    SendCommand({ name, ControlCommand::AskStatus, 0 });
+    AskStatus(name, mCounts.mProbes);
   } else if (aError.mKind == ErrorKind::QueueFull) {
     if (auto it = mMembers.find(name); it != mMembers.end()) {
       it->second.mBusyUntil = now + mSettings.mBusyDelay;
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -70,7 +70,12 @@
   uint64_t mRefused = 0;
   uint64_t mUnknown = 0;
   uint64_t mHedges = 0;
-  uint64_t mControlCommands = 0;
+  /// Status requests, by what they were sent for.
+  uint64_t mProbes = 0;
+  uint64_t mEvidenceRequests = 0;
+  uint64_t mTakeoverCommands = 0;
+  /// Commands that made a connection fit for a session.
+  uint64_t mPreparations = 0;
 };
 
 /// Serves the statements for one group on one instance: connections, evidence,
@@ -197,12 +202,15 @@
   bool WantsEvidence() const;
   /// How long the oldest commit has waited for evidence.
   Duration ConfirmingFor(Instant aNow) const;
+  bool IsFollowing(const std::string& aName,
+                   const PrimaryOfGroup& aPrimary) const;
   std::vector<std::string> EvidenceOrder(const PrimaryOfGroup& aPrimary) const;
   bool WantsFrontier(Instant aNow) const;
   bool IsReplaced(const PrimaryOfGroup& aPrimary) const;
 
   // Control.
   void Probe(Instant aNow);
+  void AskStatus(const std::string& aName, uint64_t& aCount);
   void SendCommand(const CommandMember& aCommand);
   void RunCommand(const std::string& aName,
                   const LinkPointer& aLink,
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -116,19 +116,20 @@
                                 : aNow - mConfirmations.front().mSince;
 }
 
-/// The replicas in the order in which they are asked for evidence.
+/// The replicas in the order in which they are asked for evidence: those known
+/// to be in the term first.
 std::vector<std::string>
 RelayGroup::EvidenceOrder(const PrimaryOfGroup& aPrimary) const
 {
-  std::vector<std::pair<std::tuple<bool, bool, Duration>, std::string>> ranked;
+  using Rank = std::tuple<bool, bool, bool, Duration>;
+  std::vector<std::pair<Rank, std::string>> ranked;
   for (const auto& it : mView.Members()) {
-    const auto* status = mView.StatusOf(it.mName);
-    if (it.mName == aPrimary.mName || mView.IsFailing(it.mName) ||
-        (status && status->mFencedTerm > aPrimary.mTerm)) {
+    if (it.mName == aPrimary.mName || mView.IsFailing(it.mName)) {
       continue;
     }
     const auto& member = mMembers.at(it.mName);
-    ranked.push_back({ { !member.mPool->HasFree(),
+    ranked.push_back({ { !IsFollowing(it.mName, aPrimary),
+                         !member.mPool->HasFree(),
                          it.mFailureDomain != mEnvironment.mFailureDomain,
                          member.mServiceTime },
                        it.mName });
@@ -141,6 +142,15 @@
   return names;
 }
 
+bool
+RelayGroup::IsFollowing(const std::string& aName,
+                        const PrimaryOfGroup& aPrimary) const
+{
+  const auto* status = mView.StatusOf(aName);
+  return status && status->mRole == Role::Replica &&
+         status->mTerm == aPrimary.mTerm;
+}
+
 void
 RelayGroup::AskEvidence(Instant aNow)
 {
@@ -152,22 +162,26 @@
   }
   const auto waited = ConfirmingFor(aNow);
   const auto size = mView.Members().size();
+  const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
+  const auto order = EvidenceOrder(*primary);
+  const auto following = std::ranges::count_if(
+    order, [&](const auto& it) { return IsFollowing(it, *primary); });
   // Replicas that are slow to receive are asked less and less often, and then
-  // all of them.
-  auto wanted = waited >= mSettings.mReplicationWait / 2
-                  ? size
-                  : std::max<size_t>(size - MajorityOf(size), 1);
+  // all of them; so are those that may not know of the term yet.
+  const bool wantsAll = waited >= mSettings.mReplicationWait / 2 ||
+                        static_cast<size_t>(following) < needed;
+  auto wanted = wantsAll ? size : needed;
   mNextEvidence = aNow + std::max(mSettings.mEvidenceInterval, waited / 2);
   if (wantsFrontier && !mMembers.at(primary->mName).IsAsked()) {
-    SendCommand({ primary->mName, ControlCommand::AskStatus, 0 });
+    AskStatus(primary->mName, mCounts.mEvidenceRequests);
   }
-  for (const auto& it : EvidenceOrder(*primary)) {
+  for (const auto& it : order) {
     const auto& calls = mMembers.at(it).mCalls;
     if (wanted == 0) {
       return;
     }
     if (calls.empty()) {
-      SendCommand({ it, ControlCommand::AskStatus, 0 });
+      AskStatus(it, mCounts.mEvidenceRequests);
       --wanted;
     } else if (aNow - calls.front().mAskedAt < mSettings.mEvidenceTimeout) {
       --wanted;
@@ -203,10 +217,17 @@
     if (it.IsAsked()) {
       it.mPool->OpenFresh();
     }
-    SendCommand({ name, ControlCommand::AskStatus, 0 });
+    AskStatus(name, mCounts.mProbes);
   }
 }
 
+void
+RelayGroup::AskStatus(const std::string& aName, uint64_t& aCount)
+{
+  ++aCount;
+  SendCommand({ aName, ControlCommand::AskStatus, 0 });
+}
+
 void
 RelayGroup::SendCommand(const CommandMember& aCommand)
 {
@@ -227,7 +248,7 @@
   const SessionState none;
   for (auto& [name, it] : mMembers) {
     while (!it.mCommands.empty()) {
-      const auto link = it.mPool->Acquire(none, LinkUse::Statement);
+      const auto link = it.mPool->Acquire(none);
       if (!link) {
         break;
       }
@@ -243,7 +264,6 @@
                        const LinkPointer& aLink,
                        const CommandMember& aCommand)
 {
-  ++mCounts.mControlCommands;
   const ControlCall call{ aLink, mEnvironment.mNow() };
   UpstreamCommand command;
   command.mForm = kCommandForms[static_cast<size_t>(aCommand.mCommand)];
@@ -355,6 +375,7 @@
   const auto actions = mTakeover.Tick(mView, mEnvironment.mGrant(), aNow);
   for (const auto& it : actions) {
     if (const auto* command = std::get_if<CommandMember>(&it)) {
+      ++mCounts.mTakeoverCommands;
       SendCommand(*command);
     } else if (const auto* order = std::get_if<OrderPromotion>(&it)) {
       mEnvironment.mOrderPromotion(mConfiguration.mName, order->mUpstream);
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -23,6 +23,28 @@
 /// Kept of the grace time for the exit itself.
 constexpr Duration kExitReserve = 500ms;
 
+/// Between two lines that sum up what each group did.
+constexpr auto kSummaryInterval = 10s;
+
+struct NamedCount
+{
+  const char* mName;
+  uint64_t RelayCounts::*mCount;
+};
+
+constexpr std::array kCounts = {
+  NamedCount{ "reads_at_replica", &RelayCounts::mReadsAtReplica },
+  NamedCount{ "reads_at_primary", &RelayCounts::mReadsAtPrimary },
+  NamedCount{ "writes", &RelayCounts::mWrites },
+  NamedCount{ "refused", &RelayCounts::mRefused },
+  NamedCount{ "outcome_unknown", &RelayCounts::mUnknown },
+  NamedCount{ "hedged_reads", &RelayCounts::mHedges },
+  NamedCount{ "probes", &RelayCounts::mProbes },
+  NamedCount{ "evidence_requests", &RelayCounts::mEvidenceRequests },
+  NamedCount{ "takeover_commands", &RelayCounts::mTakeoverCommands },
+  NamedCount{ "preparations", &RelayCounts::mPreparations },
+};
+
 int sSignalPipe[2] = { -1, -1 };
 
 void
@@ -64,6 +86,7 @@
   mDuty.SetRouter(mRouter);
   StructuredLog::Instance().SetInstanceName(mSettings.mInstance);
   connect(&mTick, &QTimer::timeout, this, [this] { Tick(); });
+  connect(&mSummary, &QTimer::timeout, this, [this] { LogSummary(); });
 }
 
 RelayEnvironment
@@ -115,6 +138,7 @@
   PL_TRY(mCallers.Listen(mSettings.mCallerAddress));
   mDirectory.Start();
   mTick.start(kTick);
+  mSummary.start(kSummaryInterval);
   Log("start",
       { { "callers", mSettings.mCallerAddress.ToString() },
         { "domain", mSettings.mFailureDomain },
@@ -180,19 +204,28 @@
   mRouter.ForEachGroup([&](const RelayGroup& aGroup) {
     const auto label =
       "{group=\"" + QByteArray::fromStdString(aGroup.Name()) + "\"}";
-    const auto& counts = aGroup.Counts();
-    add("reads_at_replica_total", label, counts.mReadsAtReplica);
-    add("reads_at_primary_total", label, counts.mReadsAtPrimary);
-    add("writes_total", label, counts.mWrites);
-    add("refused_total", label, counts.mRefused);
-    add("outcome_unknown_total", label, counts.mUnknown);
-    add("hedged_reads_total", label, counts.mHedges);
-    add("control_commands_total", label, counts.mControlCommands);
+    for (const auto& it : kCounts) {
+      add((std::string(it.mName) + "_total").c_str(),
+          label,
+          aGroup.Counts().*it.mCount);
+    }
     add("term", label, aGroup.View().HighestTerm());
   });
   return text;
 }
 
+void
+RelayService::LogSummary()
+{
+  mRouter.ForEachGroup([](const RelayGroup& aGroup) {
+    LogFields fields{ { "group", aGroup.Name() } };
+    for (const auto& it : kCounts) {
+      fields.emplace_back(it.mName, std::to_string(aGroup.Counts().*it.mCount));
+    }
+    Log("summary", fields);
+  });
+}
+
 void
 RelayService::Tick()
 {
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -38,6 +38,7 @@
   void AddRoutes();
   bool IsReady() const;
   QByteArray Metrics() const;
+  void LogSummary();
   void Tick();
   void Drain();
   void DrainStep();
@@ -51,6 +52,7 @@
   QHttpServer mReadiness;
   QHttpServer mMetrics;
   QTimer mTick;
+  QTimer mSummary;
   std::unique_ptr<QSocketNotifier> mSignals;
   /// When SIGTERM came.
   std::optional<Instant> mDrainingSince;
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -41,9 +41,8 @@
     if (++database.mConnections > database.mMaxConnections) {
       answer.mError = Error{ ErrorKind::ConnectionLimit, "" };
     }
-    mFake.Deliver(mEvents, [answer](ChannelEvents& aTo) {
-      aTo.mOnAnswer(answer);
-    });
+    mFake.Deliver(mEvents,
+                  [answer](ChannelEvents& aTo) { aTo.mOnAnswer(answer); });
   }
 
   ~Channel() override
@@ -62,9 +61,8 @@
     }
     const auto answer = mFake.Execute(database, aCommand, mState);
     if (!database.mIsMute) {
-      mFake.Deliver(mEvents, [answer](ChannelEvents& aTo) {
-        aTo.mOnAnswer(answer);
-      });
+      mFake.Deliver(mEvents,
+                    [answer](ChannelEvents& aTo) { aTo.mOnAnswer(answer); });
     }
   }
 
@@ -192,8 +190,8 @@
 void
 FakeUpstreams::Replicate()
 {
-  const auto primary = std::ranges::max_element(
-    mDatabases, {}, [](const auto& it) {
+  const auto primary =
+    std::ranges::max_element(mDatabases, {}, [](const auto& it) {
       return std::pair(it.second.mRole == Role::Primary, it.second.mTerm);
     });
   auto& source = primary->second;
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -345,8 +345,8 @@
     mFake->Run(30ms);
     CPPUNIT_ASSERT(!caller->LastError());
     const auto& arrived = mFake->At("a").mArrived;
-    const auto prepare = std::ranges::find(
-      arrived, CommandForm::Prepare, &UpstreamCommand::mForm);
+    const auto prepare =
+      std::ranges::find(arrived, CommandForm::Prepare, &UpstreamCommand::mForm);
     const auto execute = std::ranges::find(
       arrived, CommandForm::ForwardPrepared, &UpstreamCommand::mForm);
     CPPUNIT_ASSERT(prepare != arrived.end() && execute != arrived.end());
--- a/Tests/LibRelay/TestTakeover.cpp
+++ b/Tests/LibRelay/TestTakeover.cpp
@@ -46,7 +46,8 @@
     mFake->Run(3s);
     CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->mOrders.size());
     CPPUNIT_ASSERT_EQUAL(std::string("c"), mFake->mOrders.front());
-    CPPUNIT_ASSERT_EQUAL(std::string("c"), mFake->Group().View().Primary()->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                         mFake->Group().View().Primary()->mName);
   }
 
   void PrimaryDeadReplicasAreFencedBeforeTheOrder()
--- a/Tests/PlatformAdapter/TestLineProtocols.cpp
+++ b/Tests/PlatformAdapter/TestLineProtocols.cpp
@@ -37,8 +37,7 @@
   static bool IsFatal(const std::string& aBytes)
   {
     const auto message = Read(aBytes);
-    const auto* error =
-      message ? std::get_if<InputError>(&*message) : nullptr;
+    const auto* error = message ? std::get_if<InputError>(&*message) : nullptr;
     return error && error->mIsFatal;
   }
 
