RelayGroup: Give leaving databases nothing new while the primary is unknown

Change: a leaving replica is never chosen; a leaving primary that nobody replaces gets no work after 5.5 s, which callers are told as not run.

--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -51,6 +51,10 @@
   }
   for (const auto& it : aMembers) {
     auto& member = mMembers[it.mName];
+    member.mLeavingSince =
+      it.mIsLeaving
+        ? std::optional(member.mLeavingSince.value_or(mEnvironment.mNow()))
+        : std::nullopt;
     if (member.mPool) {
       continue;
     }
@@ -231,8 +235,7 @@
       member.mPool->HasFree() && member.mBusyUntil <= now;
     candidate.mIsSameDomain = it.mFailureDomain == mEnvironment.mFailureDomain;
     candidate.mIsExcluded =
-      aJourney.mExcluded.contains(it.mName) ||
-      (it.mIsLeaving && mView.Primary() && mView.Primary()->mName != it.mName);
+      aJourney.mExcluded.contains(it.mName) || !MayReceiveWork(it, now);
     candidate.mInFlight = member.mPool->InUse();
     candidate.mSlots = it.mSlots;
     candidate.mServiceTime = member.mServiceTime;
@@ -241,6 +244,17 @@
   return candidates;
 }
 
+/// A leaving replica gets nothing new; a leaving primary serves until it is
+/// replaced, but no longer than the limit.
+bool
+RelayGroup::MayReceiveWork(const GroupMember& aMember, Instant aNow) const
+{
+  const auto& since = mMembers.at(aMember.mName).mLeavingSince;
+  const auto primary = mView.Primary();
+  return !since || (primary && primary->mName == aMember.mName &&
+                    aNow - *since < mSettings.mLeavingLimit);
+}
+
 void
 RelayGroup::Dispatch()
 {
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -28,6 +28,9 @@
   /// A write is sent only to a primary that was seen to lead this recently, so
   /// that few end in doubt when it does not.
   Duration mLeadershipAge = std::chrono::milliseconds(1200);
+  /// How long a leaving primary may get work while nobody replaces it; below
+  /// the time that the platform gives a leaving database.
+  Duration mLeavingLimit = std::chrono::milliseconds(5500);
   /// Nothing more is sent to a primary that has owed an answer for longer: what
   /// is sent to a dead one ends in doubt.
   Duration mOwedAnswerLimit = std::chrono::milliseconds(300);
@@ -140,6 +143,8 @@
     /// Refused for lack of a slot; not fed before then.
     Instant mBusyUntil;
     Instant mNextProbe;
+    /// When the directory first said that it leaves.
+    std::optional<Instant> mLeavingSince;
     /// Control commands that wait for a connection.
     std::vector<CommandMember> mCommands;
     /// Control commands under way, oldest first.
@@ -160,6 +165,7 @@
   // Choosing and sending.
   void Dispatch();
   bool TryStart(const JourneyPointer& aJourney);
+  bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
   void DemandConnections(const RelayNeed& aNeed);
   bool IsDoubtful(const PrimaryOfGroup& aPrimary) const;
   RelayNeed NeedOf(const RelayRequest& aRequest) const;
--- a/Tests/LibRelay/TestTakeover.cpp
+++ b/Tests/LibRelay/TestTakeover.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(OrderWithoutEffectIsRepeatedForTheSameMember);
   CPPUNIT_TEST(OrderRefusedAnotherMemberIsPromoted);
   CPPUNIT_TEST(PrimaryLeavingIsReplacedWhileItServes);
+  CPPUNIT_TEST(PrimaryLeavingThatNobodyReplacesGetsNoWorkInTheEnd);
+  CPPUNIT_TEST(ReplicaLeavingGetsNoReadWhileThePrimaryIsUnknown);
   CPPUNIT_TEST(ReplicaLeavingIsNotPromoted);
   CPPUNIT_TEST(FenceOfVanishedHolderIsReleased);
   CPPUNIT_TEST(WriteDuringFailoverIsServedByTheNewPrimary);
@@ -153,6 +155,43 @@
     CPPUNIT_ASSERT(successor.mReceived == mFake->At("a").mReceived);
   }
 
+  void PrimaryLeavingThatNobodyReplacesGetsNoWorkInTheEnd()
+  {
+    mFake->mIsDutyFree = false;
+    mFake->SetLeaving("a");
+    mFake->Publish();
+    mFake->Run(6s);
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(1100ms);
+    CPPUNIT_ASSERT(caller->LastError());
+    CPPUNIT_ASSERT(AnswerFor(*caller->LastError()).mOutcome == Outcome::NotRun);
+    CPPUNIT_ASSERT(mFake->At("a").mRan.empty());
+  }
+
+  void ReplicaLeavingGetsNoReadWhileThePrimaryIsUnknown()
+  {
+    RelayRoute route;
+    route.mDatabase = "db";
+    route.mGroup = "g";
+    route.mFreshness = Freshness::BoundedAge;
+    route.mMaxAge = 5s;
+    mFake->SetRoute(route);
+    auto caller = mFake->Connect();
+    caller->Say("READ 1");
+    mFake->Run(100ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->At("b").mRan.size());
+    mFake->mIsDutyFree = false;
+    mFake->SetLeaving("b");
+    mFake->Publish();
+    mFake->At("a").mRole = Role::Replica;
+    mFake->Run(1000ms);
+    CPPUNIT_ASSERT(!mFake->Group().View().Primary());
+    caller->Say("READ 2");
+    mFake->Run(200ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->At("b").mRan.size());
+  }
+
   void ReplicaLeavingIsNotPromoted()
   {
     mFake->SetLeaving("c");
