RelayGroup: Refuse at once on the wrong side of a partition

Change: evidence missing for 300 ms while the primary answers, or a silent primary whose replicas go on receiving, is answered at once as not run.

--- a/Libraries/LibDecision/TakeoverMachine.cpp
+++ b/Libraries/LibDecision/TakeoverMachine.cpp
@@ -72,6 +72,7 @@
   mSilentPrimary = primary;
   if (std::max(mSilentFor, mNoPrimaryFor) < mSettings.mWitnessFrom) {
     mWitness.reset();
+    mIsWitnessed = false;
   }
 }
 
@@ -97,6 +98,7 @@
   if (silence >= mSettings.mWitnessFrom) {
     AskAll(aView, aNow);
     if (IsWitnessed(aView)) {
+      mIsWitnessed = true;
       const auto rest = mSettings.mWitnessFrom;
       mSilentFor = std::min(mSilentFor, rest);
       mNoPrimaryFor = std::min(mNoPrimaryFor, rest);
--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -124,6 +124,9 @@
                          PromotionAnswer aAnswer,
                          Instant aNow);
 
+  /// Whether the primary is silent here while its replicas go on receiving:
+  /// other instances reach it.
+  bool IsCutOff() const { return mIsWitnessed; }
   bool IsIdle() const { return mState == State::Watching; }
   std::optional<TakeoverCause> Cause() const { return mCause; }
 
@@ -170,6 +173,7 @@
   Duration mNoPrimaryFor{};
   /// The highest position received by a replica when the silence began.
   std::optional<LogPosition> mWitness;
+  bool mIsWitnessed = false;
   std::string mSilentPrimary;
   /// When the primary was asked what it has not answered.
   Instant mSilentSince;
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -319,6 +319,18 @@
   }
 }
 
+bool
+RelayGroup::IsCutOff() const
+{
+  const auto primary = mView.Primary();
+  if (!primary || IsDoubtful(*primary)) {
+    return mTakeover.IsCutOff();
+  }
+  return mEvidenceMissingSince &&
+         mEnvironment.mNow() - *mEvidenceMissingSince >=
+           mSettings.mEvidenceLimit;
+}
+
 /// Whether the primary has owed an answer for so long that it may be dead.
 bool
 RelayGroup::IsDoubtful(const PrimaryOfGroup& aPrimary) const
@@ -690,6 +702,13 @@
 RelayGroup::GiveUpAt(const Journey& aJourney) const
 {
   const auto& request = aJourney.mRequest;
+  const auto need = NeedOf(request);
+  const bool waitsForReplica =
+    aJourney.mWaitsFor == RelayVerdict::WaitForConnection &&
+    !need.mNeedsPrimary && need.mMaxAge;
+  if (IsCutOff() && !waitsForReplica) {
+    return request.mAskedAt;
+  }
   const auto primary = mView.Primary();
   // Behind a primary that may be dead a statement waits for the next one.
   const bool isOverloaded =
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -22,6 +22,9 @@
   Duration mEvidenceInterval = std::chrono::milliseconds(4);
   /// A request for evidence that takes longer is put to another replica too.
   Duration mEvidenceTimeout = std::chrono::milliseconds(60);
+  /// Evidence that is missing for longer while the primary answers shows that
+  /// this instance is on the wrong side of a partition.
+  Duration mEvidenceLimit = std::chrono::milliseconds(300);
   /// How old the newest frontier may grow while aged reads come in; half of
   /// the smallest age that a route allows.
   Duration mFrontierRefresh = std::chrono::milliseconds(750);
@@ -168,6 +171,8 @@
   bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
   void DemandConnections(const RelayNeed& aNeed);
   bool IsDoubtful(const PrimaryOfGroup& aPrimary) const;
+  /// Whether this instance can't serve what another probably can.
+  bool IsCutOff() const;
   RelayNeed NeedOf(const RelayRequest& aRequest) const;
   std::vector<RelayCandidate> Candidates(const Journey& aJourney) const;
   void Start(const JourneyPointer& aJourney,
@@ -255,6 +260,8 @@
   /// Reads of open transactions that wait for evidence before they are sent.
   std::list<ExchangePointer> mParked;
   Instant mNextEvidence;
+  /// Since when evidence was asked for in vain.
+  std::optional<Instant> mEvidenceMissingSince;
   Instant mFrontierWantedUntil;
   RelayCounts mCounts;
   bool mIsDispatchDue = false;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -160,6 +160,7 @@
       (!wantsFrontier && !WantsEvidence())) {
     return;
   }
+  mEvidenceMissingSince = mEvidenceMissingSince.value_or(aNow);
   const auto waited = ConfirmingFor(aNow);
   const auto size = mView.Members().size();
   const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
@@ -310,6 +311,9 @@
   LogStatus(known);
   const auto before = mView.Primary();
   mView.ObserveStatus(known, mEnvironment.mNow());
+  if (mView.Primary() && mView.IsUnreplaced(*mView.Primary(), aCall.mAskedAt)) {
+    mEvidenceMissingSince.reset();
+  }
   if (const auto primary = mView.Primary(); primary != before) {
     Log("primary.changed",
         { { "upstream", primary ? primary->mName : "unknown" },
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(WriteRefusedForLackOfSlotsIsRepeated);
   CPPUNIT_TEST(ReadAtPrimaryWaitsForEvidence);
   CPPUNIT_TEST(ReadAtReplacedPrimaryDoesNotRunThere);
+  CPPUNIT_TEST(InstanceWithoutEvidenceRefusesAtOnce);
+  CPPUNIT_TEST(InstanceCutFromPrimaryOnlyRefusesAtOnce);
   CPPUNIT_TEST(AgedReadGoesToReplicaOfSameDomain);
   CPPUNIT_TEST(AgedReadAtLaggingReplicasGoesToPrimary);
   CPPUNIT_TEST(OwnReadAfterWriteIncludesIt);
@@ -158,6 +160,42 @@
     CPPUNIT_ASSERT(!caller->LastError());
   }
 
+  /// A primary and some instances are on one side of a partition; the callers
+  /// of these are better served by the others.
+  void InstanceWithoutEvidenceRefusesAtOnce()
+  {
+    mFake->At("b").mIsReachable = false;
+    mFake->At("c").mIsReachable = false;
+    auto first = mFake->Connect();
+    first->Say("READ 1");
+    mFake->Run(450ms);
+    CPPUNIT_ASSERT(first->IsAnswered());
+    auto second = mFake->Connect();
+    second->Say("READ 2");
+    mFake->Run(40ms);
+    CPPUNIT_ASSERT(second->LastError());
+    CPPUNIT_ASSERT(AnswerFor(*second->LastError()).mOutcome == Outcome::NotRun);
+  }
+
+  void InstanceCutFromPrimaryOnlyRefusesAtOnce()
+  {
+    mFake->At("a").mIsReachable = false;
+    auto first = mFake->Connect();
+    first->Say("WRITE 1 x");
+    const auto writeElsewhere = [this](Milliseconds aTime) {
+      for (auto it = 0ms; it < aTime; it += 20ms) {
+        ++mFake->At("a").mReceived.mOffset;
+        mFake->Run(20ms);
+      }
+    };
+    writeElsewhere(600ms);
+    auto second = mFake->Connect();
+    second->Say("WRITE 2 y");
+    writeElsewhere(60ms);
+    CPPUNIT_ASSERT(second->LastError());
+    CPPUNIT_ASSERT(AnswerFor(*second->LastError()).mOutcome == Outcome::NotRun);
+  }
+
   void AgedReadGoesToReplicaOfSameDomain()
   {
     mFake->SetRoute(Aged(Freshness::BoundedAge));
