RelayGroup: Keep repeated reads within the retry budget

Change: hedged reads spend the retry budget; a statement refused for lack of slots comes back later each time; members' state is in the log.

--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -530,6 +530,7 @@
     Confirm(journey, aAnswer, *aExchange->mPrimary);
     return;
   }
+  mRetries.ObserveSuccess();
   ++(aExchange->mPrimary ? mCounts.mReadsAtPrimary : mCounts.mReadsAtReplica);
   Finish(journey, aAnswer, aExchange->mHold);
 }
@@ -619,7 +620,8 @@
     return;
   }
   if (aReason.mKind == ErrorKind::QueueFull) {
-    journey->mNotBefore = mEnvironment.mNow() + mSettings.mBusyDelay;
+    journey->mNotBefore =
+      mEnvironment.mNow() + mSettings.mBusyDelay * journey->mAttempts;
   }
   Dispatch();
 }
@@ -789,13 +791,19 @@
          std::max<Duration>(usual, mSettings.mMinHedgeDelay);
 }
 
-/// A read whose answer may have been lost is sent once more.
+/// A read whose answer may have been lost is sent once more, as long as such
+/// reads are few: when databases are slow to answer, more load does not help.
 void
 RelayGroup::HedgeReads(Instant aNow)
 {
   const auto journeys = mJourneys;
   for (const auto& it : journeys) {
-    if (MayHedge(*it, aNow) && TryStart(it)) {
+    if (!MayHedge(*it, aNow) || !mRetries.TrySpend()) {
+      continue;
+    }
+    // Once is enough: the next try waits as long again.
+    it->mLastSentAt = aNow;
+    if (TryStart(it)) {
       ++mCounts.mHedges;
     }
   }
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDecision/RetryBudget.h"
 #include "LibDecision/TakeoverMachine.h"
 #include "LibRelay/LinkPool.h"
 #include "LibRelay/Protocols.h"
@@ -123,6 +124,8 @@
   const std::string& Name() const { return mConfiguration.mName; }
   const RelayCounts& Counts() const { return mCounts; }
   bool IsIdle() const { return mJourneys.empty(); }
+  /// A line for each member on what is believed of it, for the log.
+  std::vector<std::pair<std::string, std::string>> DescribeMembers() const;
 
   void OnAsked(const std::string& aUpstream, Instant aNow) override;
   void OnAnswered(const std::string& aUpstream,
@@ -264,6 +267,7 @@
   std::optional<Instant> mEvidenceMissingSince;
   Instant mFrontierWantedUntil;
   RelayCounts mCounts;
+  RetryBudget mRetries;
   bool mIsDispatchDue = false;
   bool mIsDispatching = false;
 };
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -21,6 +21,13 @@
                                      "primary-leaving",
                                      "stray-fence" };
 
+std::string
+PositionText(LogPosition aPosition)
+{
+  return std::to_string(aPosition.mTerm) + "." +
+         std::to_string(aPosition.mOffset);
+}
+
 }
 
 // Evidence.
@@ -325,6 +332,33 @@
   Dispatch();
 }
 
+std::vector<std::pair<std::string, std::string>>
+RelayGroup::DescribeMembers() const
+{
+  std::vector<std::pair<std::string, std::string>> lines;
+  const auto now = mEnvironment.mNow();
+  for (const auto& it : mView.Members()) {
+    const auto* status = mView.StatusOf(it.mName);
+    const auto& member = mMembers.at(it.mName);
+    std::string text = "unknown";
+    if (status) {
+      const auto age =
+        std::chrono::duration_cast<Milliseconds>(now - status->mAskedAt);
+      text = status->mRole == Role::Primary ? "primary" : "replica";
+      text += " received " + PositionText(status->mReceived) + " " +
+              std::to_string(age.count()) + " ms ago";
+    }
+    text +=
+      ", applied " + PositionText(mView.AppliedOf(it.mName)) + ", answers in " +
+      std::to_string(
+        std::chrono::duration_cast<Milliseconds>(member.mServiceTime).count()) +
+      " ms, " + std::to_string(member.mPool->InUse()) + " of " +
+      std::to_string(member.mPool->Size()) + " connections in use";
+    lines.emplace_back("member " + it.mName, text);
+  }
+  return lines;
+}
+
 /// One line for each change of role, term or fence.
 void
 RelayGroup::LogStatus(const ReplicationStatus& aStatus) const
@@ -340,9 +374,7 @@
         { "role", aStatus.mRole == Role::Primary ? "primary" : "replica" },
         { "term", std::to_string(aStatus.mTerm) },
         { "fencedTerm", std::to_string(aStatus.mFencedTerm) },
-        { "received",
-          std::to_string(aStatus.mReceived.mTerm) + "." +
-            std::to_string(aStatus.mReceived.mOffset) } });
+        { "received", PositionText(aStatus.mReceived) } });
 }
 
 void
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -223,6 +223,9 @@
       fields.emplace_back(it.mName, std::to_string(aGroup.Counts().*it.mCount));
     }
     Log("summary", fields);
+    fields = aGroup.DescribeMembers();
+    fields.insert(fields.begin(), { "group", aGroup.Name() });
+    Log("members", fields);
   });
 }
 
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(AgedReadAtLaggingReplicasGoesToPrimary);
   CPPUNIT_TEST(OwnReadAfterWriteIncludesIt);
   CPPUNIT_TEST(ReadWhoseAnswerIsLostIsSentElsewhere);
+  CPPUNIT_TEST(ReadsAtSlowDatabasesAreRepeatedRarely);
   CPPUNIT_TEST(TransactionKeepsItsConnection);
   CPPUNIT_TEST(TransactionWhoseConnectionEndsIsAborted);
   CPPUNIT_TEST(CommitWhoseAnswerIsLostEndsInDoubt);
@@ -252,6 +253,23 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2), RunsOf("READ 1"));
   }
 
+  /// The load of scale-1 on sandline: all reads at a primary that answers late.
+  void ReadsAtSlowDatabasesAreRepeatedRarely()
+  {
+    mFake->SetRoute(Aged(Freshness::BoundedAge));
+    for (const auto* it : { "a", "b", "c" }) {
+      mFake->At(it).mIsMute = true;
+    }
+    std::vector<std::unique_ptr<FakeUpstreams::Caller>> callers;
+    for (int it = 0; it < 200; ++it) {
+      callers.push_back(mFake->Connect());
+      callers.back()->Say("READ 1");
+      mFake->Run(10ms);
+    }
+    CPPUNIT_ASSERT(mFake->Group().Counts().mHedges <=
+                   RetryBudget::kMaxSavedRetries);
+  }
+
   void TransactionKeepsItsConnection()
   {
     auto caller = mFake->Connect();
