ConnectionBudget: Keep no idle connections where most are taken

Change: a plan per database from its own count: at three quarters in use nothing is kept open without need. Also: parameter names as the linter asks; it now covers platform/.

--- a/Libraries/LibDecision/ConnectionBudget.cpp
+++ b/Libraries/LibDecision/ConnectionBudget.cpp
@@ -12,14 +12,23 @@
   return { 1, std::max(each, 2U) - 1 };
 }
 
-unsigned
-ConnectionAllowance(unsigned aLimit, unsigned aTotal, unsigned aOwn)
+ConnectionPlan
+PlanConnections(unsigned aLimit, unsigned aTotal, unsigned aOwn)
 {
   // One in eight connections stays free for instances that start.
   const auto reserve = std::max(aLimit / 8, 1U);
   const auto usable = aLimit > reserve ? aLimit - reserve : 1U;
   const auto spare = usable > aTotal ? usable - aTotal : 0U;
-  return std::clamp(aOwn + (spare + 3) / 4, 1U, std::max(aLimit / 3, 1U));
+  ConnectionPlan plan;
+  plan.mAllowance =
+    std::clamp(aOwn + (spare + 3) / 4, 1U, std::max(aLimit / 3, 1U));
+  // Three quarters in use: every idle one keeps another instance waiting. The
+  // span still covers the pause between two statements of one caller.
+  if (aTotal * 4 >= aLimit * 3) {
+    plan.mMinimum = 0;
+    plan.mIdleTimeout = std::chrono::milliseconds(40);
+  }
+  return plan;
 }
 
 }
--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 namespace papayaline {
@@ -20,12 +21,25 @@
 ConnectionShare
 DivideConnections(unsigned aLimit, unsigned aReserve, unsigned aInstances);
 
-/// How many connections an instance that holds aOwn may hold to a database that
-/// reports aTotal of aLimit in use. Without a list of instances the database's
-/// own count is what keeps the sum within the limit: an instance takes a
-/// quarter of what is spare, and always one. The reserve is left to instances
-/// that start. Pure; any thread.
-unsigned
-ConnectionAllowance(unsigned aLimit, unsigned aTotal, unsigned aOwn);
+/// How an instance uses the connections of one database.
+struct ConnectionPlan
+{
+  unsigned mAllowance = 1;
+  /// Connections that are kept open without need.
+  unsigned mMinimum = 1;
+  /// After which a connection over the minimum is closed.
+  std::chrono::milliseconds mIdleTimeout{ 1000 };
+
+  bool operator==(const ConnectionPlan&) const = default;
+};
+
+/// Plans for an instance that holds aOwn connections to a database that reports
+/// aTotal of aLimit in use. Without a list of instances the database's own
+/// count is what keeps the sum within the limit: an instance takes a quarter of
+/// what is spare, and always one. The reserve is left to instances that start.
+/// Where most are taken, as when there are more instances than connections,
+/// none is kept without need. Pure; any thread.
+ConnectionPlan
+PlanConnections(unsigned aLimit, unsigned aTotal, unsigned aOwn);
 
 }
--- a/Libraries/LibDecision/TakeoverMachine.cpp
+++ b/Libraries/LibDecision/TakeoverMachine.cpp
@@ -44,9 +44,9 @@
   }
   // A status is newer than the directory.
   const auto it =
-    std::ranges::find_if(aView.Members(), [&](const auto& member) {
-      return member.mListedRole == Role::Primary &&
-             !aView.StatusOf(member.mName);
+    std::ranges::find_if(aView.Members(), [&](const auto& aMember) {
+      return aMember.mListedRole == Role::Primary &&
+             !aView.StatusOf(aMember.mName);
     });
   return it != aView.Members().end() ? it->mName : std::string();
 }
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -60,7 +60,7 @@
 void
 LinkPool::Demand()
 {
-  if (!HasFree() && OpeningCount() == 0 && MayOpen(mLimit)) {
+  if (!HasFree() && OpeningCount() == 0 && MayOpen(mPlan.mAllowance)) {
     Open();
   }
 }
@@ -91,7 +91,7 @@
 void
 LinkPool::OpenFresh()
 {
-  if (OpeningCount() == 0 && MayOpen(mLimit + 1)) {
+  if (OpeningCount() == 0 && MayOpen(mPlan.mAllowance + 1)) {
     Open();
   }
 }
@@ -181,8 +181,8 @@
     const bool isStuck =
       isOpening && aNow - link->WaitingSince() >= mSettings.mOpenTimeout;
     const bool isSpare = !it.mIsLeased && link->IsClean() &&
-                         (mIsRetired || mEntries.size() > mSettings.mMinimum) &&
-                         aNow - link->LastUsedAt() >= mSettings.mIdleTimeout;
+                         (mIsRetired || mEntries.size() > mPlan.mMinimum) &&
+                         aNow - link->LastUsedAt() >= mPlan.mIdleTimeout;
     const bool isUnanswered =
       !it.mIsLeased && link->PendingCount() > 0 &&
       aNow - link->WaitingSince() >= mSettings.mReleaseTimeout;
@@ -199,8 +199,8 @@
       Remove(it);
     }
   }
-  if (mEntries.size() < mSettings.mMinimum && OpeningCount() == 0 &&
-      MayOpen(mLimit)) {
+  if (mEntries.size() < mPlan.mMinimum && OpeningCount() == 0 &&
+      MayOpen(mPlan.mAllowance)) {
     Open();
   }
 }
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDecision/ConnectionBudget.h"
 #include "LibRelay/UpstreamLink.h"
 
 namespace papayaline {
@@ -14,11 +15,6 @@
   /// shows that it lives.
   Duration mRetryDelay = std::chrono::milliseconds(100);
   Duration mMaxRetryDelay = std::chrono::milliseconds(400);
-  /// A connection over the minimum that idles longer is closed, so that other
-  /// instances may open one.
-  Duration mIdleTimeout = std::chrono::seconds(1);
-  /// Links that are opened ahead of need, within the limit.
-  unsigned mMinimum = 1;
   /// A rollback that takes longer will not be answered.
   Duration mReleaseTimeout = std::chrono::seconds(2);
 };
@@ -35,7 +31,7 @@
            std::function<void()> aOnChange);
   ~LinkPool();
 
-  void SetLimit(unsigned aLimit) { mLimit = aLimit; }
+  void SetPlan(const ConnectionPlan& aPlan) { mPlan = aPlan; }
 
   /// Whether a link is free now.
   bool HasFree() const { return FreeCount() > 0; }
@@ -86,7 +82,7 @@
   UpstreamLink::Clock mClock;
   std::function<void()> mOnChange;
   LinkPoolSettings mSettings;
-  unsigned mLimit = 1;
+  ConnectionPlan mPlan;
   std::vector<Entry> mEntries;
   std::optional<Error> mFailure;
   unsigned mFailures = 0;
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -777,8 +777,8 @@
       aJourney.mRequest.mMode != TransactionMode::None) {
     return false;
   }
-  const auto it = std::ranges::find_if(mExchanges, [&](const auto& exchange) {
-    return exchange->mJourney.get() == &aJourney;
+  const auto it = std::ranges::find_if(mExchanges, [&](const auto& aExchange) {
+    return aExchange->mJourney.get() == &aJourney;
   });
   if (it == mExchanges.end()) {
     return false;
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -242,7 +242,7 @@
                        const StatementAnswer& aAnswer);
   void ExpireCalls(Instant aNow);
   void LogStatus(const ReplicationStatus& aStatus) const;
-  void SetConnectionLimit(const ReplicationStatus& aStatus);
+  void PlanConnectionsOf(const ReplicationStatus& aStatus);
   void RunTakeover(Instant aNow);
   void Log(const std::string& aEvent,
            std::vector<std::pair<std::string, std::string>> aFields) const;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -292,8 +292,9 @@
   if (it == mMembers.end()) {
     return;
   }
-  std::erase_if(it->second.mCalls,
-                [&](const auto& call) { return call.mLink == aCall.mLink; });
+  std::erase_if(it->second.mCalls, [&](const auto& aOther) {
+    return aOther.mLink == aCall.mLink;
+  });
   if (aAnswer.mError && aAnswer.mError->mKind == ErrorKind::UpstreamLost) {
     it->second.mPool->Discard(aCall.mLink);
     return;
@@ -314,7 +315,7 @@
   auto known = status.Take();
   known.mUpstream = aName;
   known.mAskedAt = aCall.mAskedAt;
-  SetConnectionLimit(known);
+  PlanConnectionsOf(known);
   LogStatus(known);
   const auto before = mView.Primary();
   mView.ObserveStatus(known, mEnvironment.mNow());
@@ -378,12 +379,12 @@
 }
 
 void
-RelayGroup::SetConnectionLimit(const ReplicationStatus& aStatus)
+RelayGroup::PlanConnectionsOf(const ReplicationStatus& aStatus)
 {
   auto& pool = *mMembers.at(aStatus.mUpstream).mPool;
-  pool.SetLimit(ConnectionAllowance(mConfiguration.mMaxConnections,
-                                    aStatus.mConnections,
-                                    static_cast<unsigned>(pool.Size())));
+  pool.SetPlan(PlanConnections(mConfiguration.mMaxConnections,
+                               aStatus.mConnections,
+                               static_cast<unsigned>(pool.Size())));
 }
 
 void
@@ -395,8 +396,8 @@
       if (aNow - call.mAskedAt < mSettings.mControlTimeout) {
         continue;
       }
-      std::erase_if(it.mCalls, [&](const auto& other) {
-        return other.mLink == call.mLink;
+      std::erase_if(it.mCalls, [&](const auto& aOther) {
+        return aOther.mLink == call.mLink;
       });
       it.mPool->Discard(call.mLink);
       mView.ObserveFailure(name, aNow);
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ $# -eq 0 ]; then
-  mapfile -t files < <(git ls-files 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp')
+  mapfile -t files < <(git ls-files 'Libraries/*.cpp' 'Services/*.cpp' 'Utilities/*.cpp' 'platform/*.cpp')
 else
   files=("$@")
 fi
--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -53,8 +53,8 @@
 std::optional<Address>
 DirectoryController::AddressOf(const std::string& aUpstream) const
 {
-  const auto it = std::ranges::find_if(mEntries, [&](const auto& entry) {
-    return entry.mMember.mName == aUpstream;
+  const auto it = std::ranges::find_if(mEntries, [&](const auto& aEntry) {
+    return aEntry.mMember.mName == aUpstream;
   });
   return it != mEntries.end() ? std::optional(it->mAddress) : std::nullopt;
 }
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -196,9 +196,9 @@
 {
   QByteArray text;
   const auto add =
-    [&](const char* aName, const QByteArray& aLabels, uint64_t n) {
+    [&](const char* aName, const QByteArray& aLabels, uint64_t aValue) {
       text += QByteArray("papayaline_") + aName + aLabels + " " +
-              QByteArray::number(quint64(n)) + "\n";
+              QByteArray::number(quint64(aValue)) + "\n";
     };
   add("caller_connections", {}, mCallers.Count());
   mRouter.ForEachGroup([&](const RelayGroup& aGroup) {
--- /dev/null
+++ b/Tests/LibDecision/TestConnectionBudget.cpp
@@ -0,0 +1,55 @@
+#include "LibDecision/ConnectionBudget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <numeric>
+#include <vector>
+
+using namespace papayaline;
+
+class TestConnectionBudget : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestConnectionBudget);
+  CPPUNIT_TEST(NineInstancesStayWithinTheLimit);
+  CPPUNIT_TEST(InstanceAloneMayHoldAThird);
+  CPPUNIT_TEST(ScarceConnectionsAreNotKept);
+  CPPUNIT_TEST(AlwaysOneIsAllowed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Each takes what its plan allows, in turn, until nothing changes.
+  void NineInstancesStayWithinTheLimit()
+  {
+    constexpr unsigned kLimit = 22;
+    std::vector<unsigned> held(9, 1);
+    for (int round = 0; round < 50; ++round) {
+      for (auto& it : held) {
+        const auto total = std::accumulate(held.begin(), held.end(), 0U);
+        it = std::max(it, PlanConnections(kLimit, total, it).mAllowance);
+      }
+    }
+    const auto total = std::accumulate(held.begin(), held.end(), 0U);
+    CPPUNIT_ASSERT(total < kLimit);
+    CPPUNIT_ASSERT(total >= kLimit / 2);
+  }
+
+  void InstanceAloneMayHoldAThird()
+  {
+    CPPUNIT_ASSERT_EQUAL(7U, PlanConnections(22, 3, 3).mAllowance);
+  }
+
+  /// 61 instances before databases of 46 connections.
+  void ScarceConnectionsAreNotKept()
+  {
+    const auto plan = PlanConnections(46, 40, 1);
+    CPPUNIT_ASSERT_EQUAL(0U, plan.mMinimum);
+    CPPUNIT_ASSERT(plan.mIdleTimeout < PlanConnections(46, 10, 1).mIdleTimeout);
+  }
+
+  void AlwaysOneIsAllowed()
+  {
+    CPPUNIT_ASSERT_EQUAL(1U, PlanConnections(46, 46, 0).mAllowance);
+    CPPUNIT_ASSERT_EQUAL(1U, PlanConnections(1, 5, 0).mAllowance);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestConnectionBudget);
