RelayGroup: Log what decided a refusal; StructuredLog never waits for its reader

A refused request's line names the owed answer of the primary, the age of missing evidence and the queue, so that its cause can be found from its id. The text of a statement stays out.

--- a/Libraries/LibCore/StructuredLog.cpp
+++ b/Libraries/LibCore/StructuredLog.cpp
@@ -4,10 +4,12 @@
 #include <QJsonObject>
 #include <array>
 #include <chrono>
+#include <fcntl.h>
 #include <mutex>
 #include <spdlog/async.h>
 #include <spdlog/async_logger.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 namespace papayaline {
 
@@ -67,6 +69,12 @@
 StructuredLog::StructuredLog()
   : mState(new State)
 {
+  // A reader that does not read must not hold up the writing thread, which the
+  // process waits for when it exits.
+  const auto flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags != -1) {
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
   mState->mLogger->set_pattern("%v");
   mState->mLogger->flush_on(spdlog::level::info);
 }
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -11,12 +11,6 @@
 /// Weight of a new observation in the smoothed service time.
 constexpr int kServiceWeight = 8;
 
-std::string
-ToText(uint64_t aValue)
-{
-  return std::to_string(aValue);
-}
-
 }
 
 RelayGroup::RelayGroup(const RelayEnvironment& aEnvironment,
@@ -678,26 +672,42 @@
 void
 RelayGroup::Refuse(const JourneyPointer& aJourney, const Error& aError)
 {
-  const auto& request = aJourney->mRequest;
-  const auto primary = mView.Primary();
-  const auto now = mEnvironment.mNow();
-  const auto waited =
-    std::chrono::duration_cast<Milliseconds>(now - request.mAskedAt).count();
   ++(AnswerFor(aError.mKind).mOutcome == Outcome::Unknown ? mCounts.mUnknown
                                                           : mCounts.mRefused);
+  LogRefusal(*aJourney, aError);
+  StatementAnswer answer;
+  answer.mError = aError;
+  Finish(aJourney, answer);
+}
+
+/// What decided, with its age: enough to find the cause from the request's id.
+void
+RelayGroup::LogRefusal(const Journey& aJourney, const Error& aError) const
+{
+  const auto& request = aJourney.mRequest;
+  const auto now = mEnvironment.mNow();
+  const auto age = [now](std::optional<Instant> aSince) {
+    return aSince ? std::to_string(
+                      std::chrono::duration_cast<Milliseconds>(now - *aSince)
+                        .count())
+                  : std::string("-");
+  };
+  const auto primary = mView.Primary();
+  const auto& text = request.mStatement.mText;
   Log("request.refused",
-      { { "request", aJourney->Id() },
+      { { "request", aJourney.Id() },
         { "database", request.mRoute.mDatabase },
-        { "statement", request.mStatement.mText.substr(0, 40) },
+        { "statement", text.substr(0, text.find(' ')) },
         { "error", std::string(AnswerFor(aError.mKind).mName) },
         { "reason", aError.mMessage },
-        { "attempts", ToText(aJourney->mAttempts) },
-        { "waitedMs", ToText(static_cast<uint64_t>(waited)) },
+        { "attempts", std::to_string(aJourney.mAttempts) },
+        { "waitedMs", age(request.mAskedAt) },
         { "primary", primary ? primary->mName : "unknown" },
-        { "term", ToText(mView.HighestTerm()) } });
-  StatementAnswer answer;
-  answer.mError = aError;
-  Finish(aJourney, answer);
+        { "term", std::to_string(mView.HighestTerm()) },
+        { "primaryOwesMs",
+          primary ? age(mView.UnansweredSince(primary->mName)) : "-" },
+        { "evidenceMissingMs", age(mEvidenceMissingSince) },
+        { "queued", std::to_string(mJourneys.size()) } });
 }
 
 Instant
@@ -722,6 +732,24 @@
   return request.mAskedAt + wait;
 }
 
+Error
+RelayGroup::GiveUpReason(const Journey& aJourney) const
+{
+  if (IsCutOff()) {
+    return { aJourney.mRequest.mAccess == Access::Read ? ErrorKind::TooStale
+                                                       : ErrorKind::NoUpstream,
+             "this instance is cut off from the group's majority" };
+  }
+  switch (aJourney.mWaitsFor) {
+    case RelayVerdict::WaitForEvidence:
+      return { ErrorKind::TooStale, "no proof of the data's age came in time" };
+    case RelayVerdict::WaitForPrimary:
+      return { ErrorKind::NoUpstream, "no primary was known in time" };
+    default:
+      return { ErrorKind::QueueFull, "no connection was free in time" };
+  }
+}
+
 void
 RelayGroup::ExpireJourneys(Instant aNow)
 {
@@ -730,15 +758,7 @@
     if (!it->IsWaiting() || aNow < GiveUpAt(*it)) {
       continue;
     }
-    static constexpr std::array kReasons = {
-      std::pair(RelayVerdict::WaitForConnection, ErrorKind::QueueFull),
-      std::pair(RelayVerdict::WaitForEvidence, ErrorKind::TooStale),
-      std::pair(RelayVerdict::WaitForPrimary, ErrorKind::NoUpstream),
-      std::pair(RelayVerdict::Run, ErrorKind::QueueFull),
-    };
-    const auto* reason = std::ranges::find(
-      kReasons, it->mWaitsFor, &decltype(kReasons)::value_type::first);
-    Refuse(it, { reason->second, "no database was free in time" });
+    Refuse(it, GiveUpReason(*it));
   }
 }
 
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -205,7 +205,9 @@
               const StatementAnswer& aAnswer,
               const std::shared_ptr<TransactionHold>& aHold = {});
   void Refuse(const JourneyPointer& aJourney, const Error& aError);
+  void LogRefusal(const Journey& aJourney, const Error& aError) const;
   Instant GiveUpAt(const Journey& aJourney) const;
+  Error GiveUpReason(const Journey& aJourney) const;
   void ExpireJourneys(Instant aNow);
   void ExpireExchanges(Instant aNow);
   void HedgeReads(Instant aNow);
