CallerSession: Write the answer before a pipelined Terminate closes the connection

Cause: the answer stood in the writer while Terminate, read behind it, began to close the socket; what is written then is lost. The test's reader also missed bytes that had come before it began to wait.

--- a/Services/Papayalined/CallerSession.cpp
+++ b/Services/Papayalined/CallerSession.cpp
@@ -147,6 +147,8 @@
     HandleSync();
   } else if (aFrame.mType == 'X') {
     mState = State::Closing;
+    // The answer to a pipelined request may not have been written yet.
+    Flush();
     mSocket->disconnectFromHost();
   } else if (aFrame.mType == 'F') {
     Refuse({ ErrorKind::NotSupported, "function calls" });
--- a/Tests/Integration/TestBadInput.cpp
+++ b/Tests/Integration/TestBadInput.cpp
@@ -48,11 +48,12 @@
 
   static QByteArray ReadUntil(QTcpSocket& aSocket, const QByteArray& aText)
   {
-    QByteArray seen;
+    // What came while the request was being written counts too.
+    auto seen = aSocket.readAll();
     while (!seen.contains(aText) && aSocket.waitForReadyRead(3000)) {
       seen += aSocket.readAll();
     }
-    return seen;
+    return seen + aSocket.readAll();
   }
 
   static void AssertOthersUnhurt()
--- a/Tests/LibCore/TestStructuredLog.cpp
+++ b/Tests/LibCore/TestStructuredLog.cpp
@@ -98,10 +98,10 @@
   {
     const std::string big(4000, 'x');
     for (int it = 0; it < 5'000; ++it) {
-      StructuredLog::Instance().Write(
-        it % 2 ? LogPriority::Request : LogPriority::Decision,
-        "unread",
-        { { "text", big } });
+      StructuredLog::Instance().Write(it % 2 ? LogPriority::Request
+                                             : LogPriority::Decision,
+                                      "unread",
+                                      { { "text", big } });
     }
   }
 };
