Tests: Explore the relay under random faults

Three instances before one group in simulated time: databases that crash, links cut one by one and by side, replication split, instances suspended, a store that is down or loses answers, promotions that take effect late.

--- /dev/null
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -0,0 +1,617 @@
+#include "RelayWorld.h"
+
+#include "platform/LineCallerProtocol.h"
+#include "platform/LineUpstreamProtocol.h"
+
+#include <algorithm>
+
+namespace papayaline {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr size_t kInstances = 3;
+constexpr size_t kCallersPerInstance = 3;
+constexpr auto kOneWay = 1ms;
+constexpr auto kMaxAge = 400ms;
+constexpr auto kTick = 20ms;
+
+}
+
+class RelayWorld::Channel : public UpstreamChannel
+{
+public:
+  Channel(RelayWorld& aWorld,
+          size_t aInstance,
+          std::string aDatabase,
+          ChannelEvents aEvents)
+    : mWorld(aWorld)
+    , mInstance(aInstance)
+    , mDatabase(std::move(aDatabase))
+    , mShared(std::make_shared<Shared>())
+  {
+    mShared->mEvents = std::move(aEvents);
+    Exchange([](RelayWorld& aOf, Shared&, Database& aAt) {
+      StatementAnswer answer;
+      answer.mPosition = EndOf(aAt, aAt.mApplied);
+      (void)aOf;
+      return answer;
+    });
+  }
+
+  void Send(const UpstreamCommand& aCommand) override
+  {
+    Exchange([aCommand](RelayWorld& aOf, Shared& aState, Database& aAt) {
+      return aOf.Execute(aAt, aCommand, aState.mState, aState.mStaged);
+    });
+  }
+
+private:
+  struct Shared
+  {
+    ChannelEvents mEvents;
+    TransactionState mState = TransactionState::None;
+    std::vector<std::string> mStaged;
+    bool mIsBroken = false;
+  };
+
+  /// Carries a command there and its answer back, as far as links allow. A
+  /// connection that lost something never carries anything again.
+  template<typename Serve>
+  void Exchange(Serve aServe)
+  {
+    const std::weak_ptr weak = mShared;
+    auto& world = mWorld;
+    const auto instance = mInstance;
+    const auto name = mDatabase;
+    const auto isCut = [&world, instance, name] {
+      return world.mInstances[instance].mCutFrom.contains(name) ||
+             !world.Find(name).mIsAlive;
+    };
+    world.At(world.mNow + kOneWay, [=, &world] {
+      const auto shared = weak.lock();
+      if (!shared || shared->mIsBroken || isCut()) {
+        if (shared) {
+          shared->mIsBroken = true;
+        }
+        return;
+      }
+      const auto answer = aServe(world, *shared, world.Find(name));
+      const auto back =
+        std::max(world.mNow + kOneWay, world.mInstances[instance].mAwakeAt);
+      world.At(back, [=, &world] {
+        const auto still = weak.lock();
+        if (still && !still->mIsBroken && !isCut()) {
+          still->mEvents.mOnAnswer(answer);
+        } else if (still) {
+          still->mIsBroken = true;
+        }
+      });
+    });
+  }
+
+  RelayWorld& mWorld;
+  size_t mInstance;
+  std::string mDatabase;
+  std::shared_ptr<Shared> mShared;
+};
+
+RelayWorld::RelayWorld(unsigned aSeed, Freshness aFreshness)
+  : mRandom(aSeed)
+  , mFreshness(aFreshness)
+{
+  for (const auto* it : { "a", "b", "c" }) {
+    Database database;
+    database.mName = it;
+    database.mRole = it == mLeader ? Role::Primary : Role::Replica;
+    mDatabases.push_back(database);
+  }
+  RelayConfiguration configuration;
+  configuration.mVersion = 1;
+  RelayRoute route;
+  route.mDatabase = "db";
+  route.mGroup = "g";
+  route.mFreshness = aFreshness;
+  route.mMaxAge = kMaxAge;
+  configuration.mRoutes = { route };
+  configuration.mGroups = { { "g", 60, 0 } };
+  std::vector<DirectoryEntry> entries;
+  for (const auto& it : mDatabases) {
+    DirectoryEntry entry;
+    entry.mGroup = "g";
+    entry.mMember.mName = it.mName;
+    entry.mMember.mListedRole = it.mRole;
+    entries.push_back(entry);
+  }
+  mInstances.resize(kInstances);
+  for (size_t it = 0; it < kInstances; ++it) {
+    mInstances[it].mDuty =
+      std::make_unique<PromotionDuty>("i" + std::to_string(it), "1");
+    mInstances[it].mRouter = std::make_unique<RelayRouter>(MakeEnvironment(it));
+    mInstances[it].mRouter->OfferConfiguration(configuration);
+    mInstances[it].mRouter->SetDirectory(entries);
+  }
+  for (size_t it = 0; it < kInstances * kCallersPerInstance; ++it) {
+    Caller caller;
+    caller.mInstance = it % kInstances;
+    caller.mNextAt = mNow + 300ms;
+    mCallers.push_back(std::move(caller));
+  }
+  for (size_t it = 0; it < mCallers.size(); ++it) {
+    mCallers[it].mSession = std::make_shared<RelaySession>(
+      *mInstances[mCallers[it].mInstance].mRouter,
+      "db",
+      [this, it](const StatementAnswer& aAnswer) { OnAnswer(it, aAnswer); });
+  }
+  mNextFault = mNow + 500ms;
+}
+
+RelayWorld::~RelayWorld()
+{
+  mCallers.clear();
+  mInstances.clear();
+}
+
+RelayEnvironment
+RelayWorld::MakeEnvironment(size_t aInstance)
+{
+  RelayEnvironment environment;
+  environment.mNow = [this] { return mNow; };
+  environment.mProtocol = platform::LineUpstreamProtocol::Create;
+  environment.mFailureDomain = "d";
+  environment.mLog = [](const auto&, const auto&) {};
+  environment.mGrant = [this, aInstance] {
+    return mInstances[aInstance].mDuty->Grant(mNow);
+  };
+  environment.mAcquireDuty = [this, aInstance](const std::string&) {
+    AcquireDuty(aInstance);
+  };
+  environment.mOrderPromotion = [this, aInstance](const std::string&,
+                                                  const std::string& aName) {
+    auto& instance = mInstances[aInstance];
+    const auto grant = instance.mDuty->Grant(mNow);
+    if (!grant) {
+      return;
+    }
+    instance.mDuty->OnOrdered(mNow);
+    if (grant->mToken < mLastToken) {
+      Violate("ONE: a lower token was sent");
+    }
+    mLastToken = grant->mToken;
+    At(mNow + Milliseconds(200 + Pick(400)), [this, aName] { Promote(aName); });
+  };
+  environment.mOpen = [this, aInstance](const std::string&,
+                                        const std::string& aUpstream,
+                                        ChannelEvents aEvents) {
+    return std::make_unique<Channel>(
+      *this, aInstance, aUpstream, std::move(aEvents));
+  };
+  return environment;
+}
+
+void
+RelayWorld::AcquireDuty(size_t aInstance)
+{
+  At(mNow + 4ms, [this, aInstance] {
+    auto& instance = mInstances[aInstance];
+    const auto group = instance.mRouter->FindGroup("g");
+    const auto retry = mNow + 200ms;
+    if (!mIsStoreUp) {
+      group->OnDutyRefused(retry);
+      return;
+    }
+    const auto sentAt = mNow;
+    const auto decision = instance.mDuty->Decide(mDutyObject, mNow);
+    const auto* take = std::get_if<TakeDuty>(&decision);
+    if (!take) {
+      group->OnDutyRefused(std::get<WaitForHolder>(decision).mUntil);
+      return;
+    }
+    // The write is carried out a while after the read, and its answer may be
+    // lost.
+    At(mNow + 4ms, [this, aInstance, sentAt, retry, put = *take] {
+      const auto present = mDutyObject ? mDutyObject->mRevision : 0;
+      const bool isDone = present == put.mExpectedRevision;
+      if (isDone) {
+        mDutyObject = StoredDuty{ put.mRecord, ++mRevision };
+      }
+      auto& holder = mInstances[aInstance];
+      if (isDone && !Chance(0.1)) {
+        holder.mDuty->OnTaken(mRevision, sentAt);
+      } else {
+        holder.mRouter->FindGroup("g")->OnDutyRefused(retry);
+      }
+    });
+  });
+}
+
+void
+RelayWorld::At(Instant aAt, std::function<void()> aRun)
+{
+  mEvents.push_back({ aAt, mOrder++, std::move(aRun) });
+  std::ranges::push_heap(mEvents, std::greater{});
+}
+
+bool
+RelayWorld::Chance(double aProbability)
+{
+  return std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
+}
+
+int
+RelayWorld::Pick(int aBelow)
+{
+  return std::uniform_int_distribution<>(0, aBelow - 1)(mRandom);
+}
+
+RelayWorld::Database&
+RelayWorld::Find(const std::string& aName)
+{
+  return *std::ranges::find(mDatabases, aName, &Database::mName);
+}
+
+LogPosition
+RelayWorld::EndOf(const Database& aDatabase, size_t aSize)
+{
+  return { aSize == 0 ? 0 : aDatabase.mLog[aSize - 1].mTerm, aSize };
+}
+
+void
+RelayWorld::Violate(const std::string& aText)
+{
+  mViolations.push_back(aText);
+}
+
+void
+RelayWorld::Promote(const std::string& aName)
+{
+  auto& database = Find(aName);
+  if (!database.mIsAlive || mLeader == aName) {
+    return;
+  }
+  ++mPromotions;
+  mLeader = aName;
+  uint64_t term = 0;
+  for (auto& it : mDatabases) {
+    term = std::max(term, it.mTerm + 1);
+    it.mFencedTerm = 0;
+  }
+  database.mRole = Role::Primary;
+  database.mTerm = term;
+  database.mApplied = database.mLog.size();
+  std::set<std::string> kept;
+  for (const auto& it : database.mLog) {
+    kept.insert(it.mWrite);
+  }
+  for (const auto& it : mCommitted) {
+    if (!kept.contains(it)) {
+      mRolledBack.insert(it);
+    }
+  }
+}
+
+void
+RelayWorld::Replicate()
+{
+  auto& source = Find(mLeader);
+  for (auto& it : mDatabases) {
+    if (!it.mIsAlive) {
+      if (mNow >= it.mBackAt) {
+        it.mIsAlive = true;
+        if (it.mName != mLeader && it.mRole == Role::Primary) {
+          it.mRole = Role::Replica;
+        }
+      }
+      continue;
+    }
+    while (!it.mToApply.empty() && it.mToApply.front().first <= mNow) {
+      it.mApplied =
+        std::min(std::max(it.mApplied, it.mToApply.front().second),
+                 it.mLog.size());
+      it.mToApply.pop_front();
+    }
+    const bool isSplit = mSplit.contains(std::minmax(it.mName, source.mName));
+    if (it.mName == mLeader || !source.mIsAlive || isSplit ||
+        it.mFencedTerm != 0) {
+      continue;
+    }
+    const bool isOwn = it.mTerm == source.mTerm &&
+                       it.mLog.size() <= source.mLog.size();
+    if (!isOwn) {
+      // Joins the new term; what the leader lacks is cut off.
+      it.mRole = Role::Replica;
+      it.mTerm = source.mTerm;
+      it.mLog.resize(std::min(it.mLog.size(), source.mLog.size()));
+      while (!it.mLog.empty() &&
+             it.mLog.back().mWrite != source.mLog[it.mLog.size() - 1].mWrite) {
+        it.mLog.pop_back();
+      }
+      it.mApplied = std::min(it.mApplied, it.mLog.size());
+      it.mToApply.clear();
+      it.mToApply.emplace_back(mNow + it.mLag, it.mLog.size());
+    }
+    while (it.mLog.size() < source.mLog.size()) {
+      it.mLog.push_back(source.mLog[it.mLog.size()]);
+      it.mToApply.emplace_back(mNow + it.mLag, it.mLog.size());
+    }
+  }
+}
+
+void
+RelayWorld::Commit(Database& aDatabase, const std::string& aWrite)
+{
+  if (!mCommitted.insert(aWrite).second) {
+    Violate("TWICE: " + aWrite);
+  }
+  if (aDatabase.mName != mLeader) {
+    mCommittedLate.insert(aWrite);
+    mRolledBack.insert(aWrite);
+  }
+  aDatabase.mLog.push_back({ aDatabase.mTerm, aWrite });
+  aDatabase.mApplied = aDatabase.mLog.size();
+}
+
+void
+RelayWorld::CheckRead(const Database& aDatabase, const std::string& aId)
+{
+  ++mReads;
+  const auto& caller = mCallers[mRequests.at(aId)];
+  const auto since =
+    caller.mIsTransaction ? caller.mBeganAt : caller.mAskedAt;
+  const auto limit = mFreshness == Freshness::Latest ? since : since - kMaxAge;
+  std::set<std::string> seen;
+  for (size_t it = 0; it < aDatabase.mApplied; ++it) {
+    seen.insert(aDatabase.mLog[it].mWrite);
+  }
+  const auto isMissing = [&](const std::string& aWrite) {
+    return !seen.contains(aWrite) && !mRolledBack.contains(aWrite);
+  };
+  for (const auto& [write, at] : mAcknowledged) {
+    if (at < limit && isMissing(write)) {
+      Violate("STALE: " + aId + " at " + aDatabase.mName + " lacks " + write);
+    }
+  }
+  if (mFreshness == Freshness::OwnWrites &&
+      std::ranges::any_of(caller.mOwnWrites, isMissing)) {
+    Violate("STALE: " + aId + " lacks a write of its session");
+  }
+}
+
+StatementAnswer
+RelayWorld::Execute(Database& aDatabase,
+                    const UpstreamCommand& aCommand,
+                    TransactionState& aState,
+                    std::vector<std::string>& aStaged)
+{
+  StatementAnswer answer;
+  answer.mSignature = "s";
+  const auto applied = EndOf(aDatabase, aDatabase.mApplied);
+  const bool isPrimary = aDatabase.mRole == Role::Primary;
+  const auto fail = [&](ErrorKind aKind) {
+    answer.mError = Error{ aKind, "" };
+    aState = aState == TransactionState::Open ? TransactionState::Failed
+                                              : aState;
+    aStaged.clear();
+  };
+  const bool isLagging = aCommand.mAfter && applied < *aCommand.mAfter;
+  switch (aCommand.mForm) {
+    case CommandForm::Forward: {
+      const bool isWrite = aCommand.mText.starts_with("WRITE");
+      const bool isCommit = aCommand.mText == "COMMIT";
+      if (isLagging) {
+        fail(ErrorKind::TooStale);
+      } else if ((isWrite || (isCommit && !aStaged.empty())) && !isPrimary) {
+        fail(ErrorKind::NotPrimary);
+      } else if (isCommit) {
+        for (const auto& it : aStaged) {
+          Commit(aDatabase, it);
+        }
+        aStaged.clear();
+        aState = TransactionState::None;
+      } else if (isWrite && aState == TransactionState::Open) {
+        aStaged.push_back(aCommand.mText);
+      } else if (isWrite) {
+        Commit(aDatabase, aCommand.mText);
+      } else {
+        CheckRead(aDatabase, aCommand.mId);
+      }
+      break;
+    }
+    case CommandForm::Begin:
+      isPrimary ? void(aState = TransactionState::Open)
+                : fail(ErrorKind::NotPrimary);
+      break;
+    case CommandForm::BeginReadOnly:
+      isLagging ? fail(ErrorKind::TooStale)
+                : void(aState = TransactionState::Open);
+      break;
+    case CommandForm::Rollback:
+      aStaged.clear();
+      aState = TransactionState::None;
+      break;
+    case CommandForm::Fence:
+      if (!isPrimary && aCommand.mTerm > aDatabase.mTerm) {
+        aDatabase.mFencedTerm = std::max(aDatabase.mFencedTerm, aCommand.mTerm);
+      }
+      break;
+    case CommandForm::Resume:
+      aDatabase.mFencedTerm = 0;
+      break;
+    case CommandForm::StepDown:
+      if (isPrimary && aCommand.mTerm > aDatabase.mTerm) {
+        aDatabase.mRole = Role::Replica;
+      }
+      break;
+    default:
+      break;
+  }
+  if (!answer.mError) {
+    const auto received = EndOf(aDatabase, aDatabase.mLog.size());
+    answer.mRows = { std::string(aDatabase.mRole == Role::Primary ? "primary"
+                                                                  : "replica") +
+                     " " + std::to_string(aDatabase.mTerm) + " " +
+                     std::to_string(received.mTerm) + "." +
+                     std::to_string(received.mOffset) + " " +
+                     std::to_string(aDatabase.mFencedTerm) + " 0 0 3" };
+  }
+  answer.mState = aState;
+  answer.mPosition = EndOf(aDatabase, aDatabase.mApplied);
+  return answer;
+}
+
+void
+RelayWorld::Speak(size_t aCaller)
+{
+  auto& caller = mCallers[aCaller];
+  const auto id = "q" + std::to_string(++mLastRequest);
+  if (caller.mStep == 0) {
+    caller.mIsTransaction = Chance(0.4);
+  }
+  const auto newWrite = [&] {
+    caller.mPendingWrite = "WRITE 1 " + id;
+    return caller.mPendingWrite;
+  };
+  std::string text;
+  if (!caller.mIsTransaction) {
+    text = Chance(0.5) ? newWrite() : "READ 1";
+  } else if (caller.mStep == 0) {
+    text = "BEGIN";
+    caller.mBeganAt = mNow;
+  } else if (caller.mStep == 1) {
+    text = "READ 1";
+  } else {
+    text = caller.mStep == 2 ? newWrite() : "COMMIT";
+  }
+  caller.mStatement = text;
+  caller.mAskedAt = mNow;
+  mRequests[id] = aCaller;
+  caller.mSession->Handle(platform::ParseStatement(id, text).Value());
+}
+
+void
+RelayWorld::OnAnswer(size_t aCaller, const StatementAnswer& aAnswer)
+{
+  auto& caller = mCallers[aCaller];
+  caller.mNextAt = mNow + Milliseconds(2 + Pick(40));
+  const bool isEnd = caller.mStatement == "COMMIT" || !caller.mIsTransaction;
+  const bool isWrite = isEnd && !caller.mPendingWrite.empty();
+  if (aAnswer.mError) {
+    const bool isPromise =
+      AnswerFor(aAnswer.mError->mKind).mOutcome == Outcome::NotRun;
+    if (isPromise && !caller.mPendingWrite.empty() &&
+        mCommitted.contains(caller.mPendingWrite)) {
+      Violate("REFUSED: " + caller.mPendingWrite);
+    }
+    if (aAnswer.mState != TransactionState::None) {
+      caller.mStatement = "ROLLBACK";
+      caller.mPendingWrite.clear();
+      caller.mSession->Handle(
+        platform::ParseStatement("rollback", "ROLLBACK").Value());
+    }
+    caller.mStep = 0;
+    caller.mPendingWrite.clear();
+    return;
+  }
+  if (isWrite) {
+    if (mCommittedLate.contains(caller.mPendingWrite)) {
+      Violate("ONE: " + caller.mPendingWrite);
+    }
+    mAcknowledged[caller.mPendingWrite] = mNow;
+    caller.mOwnWrites.push_back(caller.mPendingWrite);
+  }
+  if (isEnd || caller.mStatement == "ROLLBACK") {
+    caller.mPendingWrite.clear();
+  }
+  caller.mStep = isEnd || caller.mStatement == "ROLLBACK" ? 0 : caller.mStep + 1;
+}
+
+void
+RelayWorld::InjectFault()
+{
+  const auto length = Milliseconds(200 + Pick(2500));
+  auto& instance = mInstances[static_cast<size_t>(Pick(kInstances))];
+  auto& database = mDatabases[static_cast<size_t>(Pick(3))];
+  switch (Pick(6)) {
+    case 0:
+      database.mIsAlive = false;
+      database.mBackAt = mNow + length;
+      break;
+    case 1:
+      instance.mCutFrom.insert(database.mName);
+      At(mNow + length, [&instance, name = database.mName] {
+        instance.mCutFrom.erase(name);
+      });
+      break;
+    case 2: {
+      const auto& other = mDatabases[static_cast<size_t>(Pick(3))];
+      const std::pair<std::string, std::string> pair =
+        std::minmax(database.mName, other.mName);
+      mSplit.insert(pair);
+      At(mNow + length, [this, pair] { mSplit.erase(pair); });
+      break;
+    }
+    case 3:
+      instance.mAwakeAt = mNow + length;
+      break;
+    case 4:
+      mIsStoreUp = false;
+      At(mNow + length, [this] { mIsStoreUp = true; });
+      break;
+    default: {
+      // The primary and one instance on one side, all else on the other.
+      const auto leader = mLeader;
+      for (auto& it : mInstances) {
+        for (const auto& at : mDatabases) {
+          if ((&it == &instance) != (at.mName == leader)) {
+            it.mCutFrom.insert(at.mName);
+          }
+        }
+      }
+      for (const auto& at : mDatabases) {
+        mSplit.insert(std::minmax(leader, at.mName));
+      }
+      At(mNow + length, [this] {
+        mSplit.clear();
+        for (auto& it : mInstances) {
+          it.mCutFrom.clear();
+        }
+      });
+      break;
+    }
+  }
+}
+
+void
+RelayWorld::Run(Milliseconds aTime)
+{
+  const auto until = mNow + aTime;
+  for (; mNow < until; mNow += 1ms) {
+    Replicate();
+    while (!mEvents.empty() && mEvents.front().mAt <= mNow) {
+      std::ranges::pop_heap(mEvents, std::greater{});
+      const auto event = std::move(mEvents.back());
+      mEvents.pop_back();
+      event.mRun();
+    }
+    if (mNow >= mNextFault) {
+      mNextFault = mNow + Milliseconds(300 + Pick(2000));
+      InjectFault();
+    }
+    for (auto& it : mInstances) {
+      const bool isTick = (mNow.time_since_epoch() / 1ms) % (kTick / 1ms) == 0;
+      if (isTick && mNow >= it.mAwakeAt) {
+        it.mRouter->Tick();
+      }
+    }
+    for (size_t it = 0; it < mCallers.size(); ++it) {
+      auto& caller = mCallers[it];
+      if (mNow >= caller.mNextAt && !caller.mSession->IsBusy() &&
+          mNow >= mInstances[caller.mInstance].mAwakeAt) {
+        Speak(it);
+      }
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/Tests/LibRelay/RelayWorld.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "LibDecision/PromotionDuty.h"
+#include "LibRelay/RelayRouter.h"
+#include "LibRelay/RelaySession.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace papayaline {
+
+/// Several instances before one group of databases, with random faults, and the
+/// rules that callers rely on checked at every step. One thread, simulated time.
+class RelayWorld
+{
+public:
+  RelayWorld(unsigned aSeed, Freshness aFreshness);
+  ~RelayWorld();
+
+  void Run(Milliseconds aTime);
+
+  const std::vector<std::string>& Violations() const { return mViolations; }
+  size_t Acknowledged() const { return mAcknowledged.size(); }
+  size_t Reads() const { return mReads; }
+  size_t Promotions() const { return mPromotions; }
+
+private:
+  struct Entry
+  {
+    uint64_t mTerm = 0;
+    std::string mWrite;
+  };
+  struct Database
+  {
+    std::string mName;
+    Role mRole = Role::Replica;
+    uint64_t mTerm = 1;
+    uint64_t mFencedTerm = 0;
+    std::vector<Entry> mLog;
+    size_t mApplied = 0;
+    bool mIsAlive = true;
+    Instant mBackAt;
+    /// How long after receipt entries are applied.
+    Milliseconds mLag{ 5 };
+    std::deque<std::pair<Instant, size_t>> mToApply;
+  };
+  struct Instance
+  {
+    std::unique_ptr<PromotionDuty> mDuty;
+    std::unique_ptr<RelayRouter> mRouter;
+    Instant mAwakeAt;
+    std::set<std::string> mCutFrom;
+  };
+  struct Caller
+  {
+    std::shared_ptr<RelaySession> mSession;
+    size_t mInstance = 0;
+    Instant mAskedAt;
+    std::string mStatement;
+    std::string mPendingWrite;
+    std::vector<std::string> mOwnWrites;
+    int mStep = 0;
+    Instant mNextAt;
+    /// When the present statement's answer was last looked at.
+    bool mIsTransaction = false;
+    Instant mBeganAt;
+  };
+  class Channel;
+  struct Event
+  {
+    Instant mAt;
+    uint64_t mOrder = 0;
+    std::function<void()> mRun;
+
+    bool operator>(const Event& aOther) const
+    {
+      return std::pair(mAt, mOrder) > std::pair(aOther.mAt, aOther.mOrder);
+    }
+  };
+
+  RelayEnvironment MakeEnvironment(size_t aInstance);
+  void At(Instant aAt, std::function<void()> aRun);
+  bool Chance(double aProbability);
+  int Pick(int aBelow);
+
+  Database& Find(const std::string& aName);
+  static LogPosition EndOf(const Database& aDatabase, size_t aSize);
+  StatementAnswer Execute(Database& aDatabase,
+                          const UpstreamCommand& aCommand,
+                          TransactionState& aState,
+                          std::vector<std::string>& aStaged);
+  void Commit(Database& aDatabase, const std::string& aWrite);
+  void CheckRead(const Database& aDatabase, const std::string& aId);
+  void Promote(const std::string& aName);
+  void Replicate();
+  void InjectFault();
+  void AcquireDuty(size_t aInstance);
+  void Speak(size_t aCaller);
+  void OnAnswer(size_t aCaller, const StatementAnswer& aAnswer);
+  void Violate(const std::string& aText);
+
+  std::mt19937 mRandom;
+  Freshness mFreshness;
+  Instant mNow = Instant(std::chrono::hours(1));
+  uint64_t mOrder = 0;
+  std::vector<Event> mEvents;
+  std::vector<Database> mDatabases;
+  std::vector<Instance> mInstances;
+  std::vector<Caller> mCallers;
+  std::string mLeader = "a";
+  /// Pairs of databases between which nothing is replicated.
+  std::set<std::pair<std::string, std::string>> mSplit;
+  std::optional<StoredDuty> mDutyObject;
+  int64_t mRevision = 1;
+  uint64_t mLastToken = 0;
+  bool mIsStoreUp = true;
+  Instant mNextFault;
+  std::map<std::string, Instant> mAcknowledged;
+  std::set<std::string> mCommitted;
+  std::set<std::string> mRolledBack;
+  std::set<std::string> mCommittedLate;
+  /// The caller of each request under way, by its id.
+  std::map<std::string, size_t> mRequests;
+  std::vector<std::string> mViolations;
+  size_t mReads = 0;
+  size_t mPromotions = 0;
+  uint64_t mLastRequest = 0;
+};
+
+}
