GroupView: Don't count a primary as a replica of itself

Cause: a primary that stepped down calls itself a replica of its own term and holds its own commit, so a write committed after another was promoted was confirmed by the very database that had committed it (ONE). Change: evidence and majorities leave the primary itself out; the test failed before.

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -192,13 +192,18 @@
 
 /// Replicas that were in a term when they were asked.
 size_t
-GroupView::CountFollowers(uint64_t aTerm, Instant aSince) const
+GroupView::CountFollowers(const PrimaryOfGroup& aPrimary,
+                          Instant aSince,
+                          LogPosition aPosition) const
 {
   return static_cast<size_t>(
     std::ranges::count_if(mKnowledge, [&](const auto& it) {
       const auto& status = it.second.mStatus;
-      return status && status->mRole == Role::Replica &&
-             status->mTerm == aTerm && status->mAskedAt >= aSince;
+      // A primary that stepped down calls itself a replica of its own term.
+      return it.first != aPrimary.mName && status &&
+             status->mRole == Role::Replica &&
+             status->mTerm == aPrimary.mTerm && status->mAskedAt >= aSince &&
+             status->mReceived >= aPosition;
     }));
 }
 
@@ -209,20 +214,16 @@
   const auto size = GroupSize();
   const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
   return aPrimary.mTerm == mHighestTerm &&
-         CountFollowers(aPrimary.mTerm, aSince) >= needed;
+         CountFollowers(aPrimary, aSince, {}) >= needed;
 }
 
 bool
 GroupView::IsReplicated(const PrimaryOfGroup& aPrimary,
                         LogPosition aPosition) const
 {
-  const auto holders = std::ranges::count_if(mKnowledge, [&](const auto& it) {
-    const auto& status = it.second.mStatus;
-    return status && status->mRole == Role::Replica &&
-           status->mTerm == aPrimary.mTerm && status->mReceived >= aPosition;
-  });
   return aPrimary.mTerm == mHighestTerm &&
-         static_cast<size_t>(holders) + 1 >= MajorityOf(GroupSize());
+         CountFollowers(aPrimary, Instant::min(), aPosition) + 1 >=
+           MajorityOf(GroupSize());
 }
 
 bool
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -139,7 +139,11 @@
   /// not shrink below it because entries are missing.
   size_t GroupSize() const;
   void Touch(Knowledge& aKnowledge, Instant aNow);
-  size_t CountFollowers(uint64_t aTerm, Instant aSince) const;
+  /// Replicas that were in the term of aPrimary and had received aPosition when
+  /// they were asked.
+  size_t CountFollowers(const PrimaryOfGroup& aPrimary,
+                        Instant aSince,
+                        LogPosition aPosition) const;
   void AddSample(LogPosition aPosition, Instant aAskedAt);
   void RecordFrontiers();
   void ForgetPrimary();
--- /dev/null
+++ b/Tests/LibDecision/TestGroupView.cpp
@@ -0,0 +1,147 @@
+#include "LibConfiguration/Configuration.h"
+#include "LibDecision/GroupView.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace papayaline;
+using namespace std::chrono_literals;
+
+class TestGroupView : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestGroupView);
+  CPPUNIT_TEST(CommitReceivedByOneReplicaOfTwoIsReplicated);
+  CPPUNIT_TEST(PrimaryThatSteppedDownIsNoReplicaOfItself);
+  CPPUNIT_TEST(ReplicaOfAnotherTermProvesNothing);
+  CPPUNIT_TEST(EvidenceOfBeforeProvesNothing);
+  CPPUNIT_TEST(FencedReplicaChallengesUnreplicatedCommit);
+  CPPUNIT_TEST(FourMembersNeedTwoReplicasToAcknowledge);
+  CPPUNIT_TEST(MissingEntryDoesNotShrinkTheMajority);
+  CPPUNIT_TEST(FrontierNeedsEvidenceAskedNoEarlier);
+  CPPUNIT_TEST(DatabaseStartedAgainKnowsNothing);
+  CPPUNIT_TEST(AnswerOfAnyKindEndsSilence);
+  CPPUNIT_TEST_SUITE_END();
+
+  const Instant mStart{ 1h };
+  const PrimaryOfGroup mPrimary{ "a", 1 };
+  GroupView mView;
+
+  static std::vector<GroupMember> Members(const std::string& aNames)
+  {
+    std::vector<GroupMember> members;
+    for (const char it : aNames) {
+      GroupMember member;
+      member.mName = it;
+      members.push_back(member);
+    }
+    return members;
+  }
+
+  void See(const std::string& aName,
+           Role aRole,
+           uint64_t aTerm,
+           LogPosition aReceived,
+           Milliseconds aAt = 0ms,
+           uint64_t aFencedTerm = 0)
+  {
+    ReplicationStatus status;
+    status.mUpstream = aName;
+    status.mRole = aRole;
+    status.mTerm = aTerm;
+    status.mReceived = aReceived;
+    status.mFencedTerm = aFencedTerm;
+    status.mAskedAt = mStart + aAt;
+    mView.ObserveStatus(status, mStart + aAt);
+  }
+
+public:
+  void setUp() override
+  {
+    mView = GroupView();
+    mView.SetMembers(Members("abc"));
+    See("a", Role::Primary, 1, { 1, 10 });
+    See("b", Role::Replica, 1, { 1, 10 });
+    See("c", Role::Replica, 1, { 1, 9 });
+  }
+
+  void CommitReceivedByOneReplicaOfTwoIsReplicated()
+  {
+    CPPUNIT_ASSERT(mView.IsReplicated(mPrimary, { 1, 10 }));
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 11 }));
+  }
+
+  /// Found by the exploration: a write committed at a replaced primary was
+  /// acknowledged once that primary had stepped down.
+  void PrimaryThatSteppedDownIsNoReplicaOfItself()
+  {
+    See("a", Role::Replica, 1, { 1, 11 }, 5ms);
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 11 }));
+    CPPUNIT_ASSERT(!mView.IsUnreplaced(mPrimary, mStart + 1ms));
+  }
+
+  void ReplicaOfAnotherTermProvesNothing()
+  {
+    See("b", Role::Replica, 2, { 1, 11 }, 5ms);
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 11 }));
+    CPPUNIT_ASSERT(!mView.IsUnreplaced(mPrimary, mStart));
+    CPPUNIT_ASSERT(!mView.Primary());
+  }
+
+  void EvidenceOfBeforeProvesNothing()
+  {
+    CPPUNIT_ASSERT(mView.IsUnreplaced(mPrimary, mStart));
+    CPPUNIT_ASSERT(!mView.IsUnreplaced(mPrimary, mStart + 1ms));
+  }
+
+  void FencedReplicaChallengesUnreplicatedCommit()
+  {
+    See("b", Role::Replica, 1, { 1, 10 }, 5ms);
+    See("c", Role::Replica, 1, { 1, 9 }, 5ms);
+    CPPUNIT_ASSERT(mView.IsUnchallenged(mPrimary, mStart + 5ms));
+    See("c", Role::Replica, 1, { 1, 9 }, 6ms, 2);
+    CPPUNIT_ASSERT(!mView.IsUnchallenged(mPrimary, mStart + 5ms));
+  }
+
+  void FourMembersNeedTwoReplicasToAcknowledge()
+  {
+    mView.SetMembers(Members("abcd"));
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 10 }));
+    See("d", Role::Replica, 1, { 1, 10 });
+    CPPUNIT_ASSERT(mView.IsReplicated(mPrimary, { 1, 10 }));
+  }
+
+  void MissingEntryDoesNotShrinkTheMajority()
+  {
+    mView.SetMembers(Members("a"));
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 10 }));
+    CPPUNIT_ASSERT(!mView.IsUnchallenged(mPrimary, mStart));
+  }
+
+  void FrontierNeedsEvidenceAskedNoEarlier()
+  {
+    mView.ObservePosition("a", { 1, 20 }, mStart + 10ms, mStart + 12ms);
+    CPPUNIT_ASSERT(!mView.Frontiers().AtOrAfter(mStart + 5ms));
+    See("b", Role::Replica, 1, { 1, 12 }, 10ms);
+    const auto frontier = mView.Frontiers().AtOrAfter(mStart + 5ms);
+    CPPUNIT_ASSERT(frontier && frontier->mPosition == LogPosition(1, 20));
+  }
+
+  void DatabaseStartedAgainKnowsNothing()
+  {
+    auto members = Members("abc");
+    members[1].mStartedMs = 5;
+    mView.SetMembers(members);
+    CPPUNIT_ASSERT(!mView.StatusOf("b"));
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 10 }));
+  }
+
+  void AnswerOfAnyKindEndsSilence()
+  {
+    mView.ObserveAsked("a", mStart + 10ms);
+    mView.ObserveAsked("a", mStart + 20ms);
+    CPPUNIT_ASSERT(mView.UnansweredSince("a") == mStart + 10ms);
+    mView.ObserveContact("a", mStart + 30ms);
+    CPPUNIT_ASSERT(!mView.UnansweredSince("a"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestGroupView);
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -306,9 +306,8 @@
       continue;
     }
     while (!it.mToApply.empty() && it.mToApply.front().first <= mNow) {
-      it.mApplied =
-        std::min(std::max(it.mApplied, it.mToApply.front().second),
-                 it.mLog.size());
+      it.mApplied = std::min(std::max(it.mApplied, it.mToApply.front().second),
+                             it.mLog.size());
       it.mToApply.pop_front();
     }
     const bool isSplit = mSplit.contains(std::minmax(it.mName, source.mName));
@@ -316,8 +315,8 @@
         it.mFencedTerm != 0) {
       continue;
     }
-    const bool isOwn = it.mTerm == source.mTerm &&
-                       it.mLog.size() <= source.mLog.size();
+    const bool isOwn =
+      it.mTerm == source.mTerm && it.mLog.size() <= source.mLog.size();
     if (!isOwn) {
       // Joins the new term; what the leader lacks is cut off.
       it.mRole = Role::Replica;
@@ -357,8 +356,7 @@
 {
   ++mReads;
   const auto& caller = mCallers[mRequests.at(aId)];
-  const auto since =
-    caller.mIsTransaction ? caller.mBeganAt : caller.mAskedAt;
+  const auto since = caller.mIsTransaction ? caller.mBeganAt : caller.mAskedAt;
   const auto limit = mFreshness == Freshness::Latest ? since : since - kMaxAge;
   std::set<std::string> seen;
   for (size_t it = 0; it < aDatabase.mApplied; ++it) {
@@ -390,8 +388,8 @@
   const bool isPrimary = aDatabase.mRole == Role::Primary;
   const auto fail = [&](ErrorKind aKind) {
     answer.mError = Error{ aKind, "" };
-    aState = aState == TransactionState::Open ? TransactionState::Failed
-                                              : aState;
+    aState =
+      aState == TransactionState::Open ? TransactionState::Failed : aState;
     aStaged.clear();
   };
   const bool isLagging = aCommand.mAfter && applied < *aCommand.mAfter;
@@ -448,12 +446,12 @@
   }
   if (!answer.mError) {
     const auto received = EndOf(aDatabase, aDatabase.mLog.size());
-    answer.mRows = { std::string(aDatabase.mRole == Role::Primary ? "primary"
-                                                                  : "replica") +
-                     " " + std::to_string(aDatabase.mTerm) + " " +
-                     std::to_string(received.mTerm) + "." +
-                     std::to_string(received.mOffset) + " " +
-                     std::to_string(aDatabase.mFencedTerm) + " 0 0 3" };
+    answer.mRows = {
+      std::string(aDatabase.mRole == Role::Primary ? "primary" : "replica") +
+      " " + std::to_string(aDatabase.mTerm) + " " +
+      std::to_string(received.mTerm) + "." + std::to_string(received.mOffset) +
+      " " + std::to_string(aDatabase.mFencedTerm) + " 0 0 3"
+    };
   }
   answer.mState = aState;
   answer.mPosition = EndOf(aDatabase, aDatabase.mApplied);
@@ -523,7 +521,8 @@
   if (isEnd || caller.mStatement == "ROLLBACK") {
     caller.mPendingWrite.clear();
   }
-  caller.mStep = isEnd || caller.mStatement == "ROLLBACK" ? 0 : caller.mStep + 1;
+  caller.mStep =
+    isEnd || caller.mStatement == "ROLLBACK" ? 0 : caller.mStep + 1;
 }
 
 void
@@ -539,9 +538,8 @@
       break;
     case 1:
       instance.mCutFrom.insert(database.mName);
-      At(mNow + length, [&instance, name = database.mName] {
-        instance.mCutFrom.erase(name);
-      });
+      At(mNow + length,
+         [&instance, name = database.mName] { instance.mCutFrom.erase(name); });
       break;
     case 2: {
       const auto& other = mDatabases[static_cast<size_t>(Pick(3))];
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -12,7 +12,8 @@
 namespace papayaline {
 
 /// Several instances before one group of databases, with random faults, and the
-/// rules that callers rely on checked at every step. One thread, simulated time.
+/// rules that callers rely on checked at every step. One thread, simulated
+/// time.
 class RelayWorld
 {
 public:
