--- a/Tests/LibRelay/TestExploration.cpp
+++ b/Tests/LibRelay/TestExploration.cpp
@@ -6,7 +6,8 @@
 using namespace papayaline;
 using namespace std::chrono_literals;
 
-/// Random faults with fixed seeds; each seed that failed once stays in the list.
+/// Random faults with fixed seeds; each seed that failed once stays in the
+/// list.
 class TestExploration : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(TestExploration);
