Tests: Run the relaying instance as a process before stand-ins of the platform

A store with versions and watches and three databases that speak the line protocol, in the test's event loop.

--- /dev/null
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -0,0 +1,295 @@
+#include "ChildProcess.h"
+#include "Line/LineDatabases.h"
+#include "Line/LineStore.h"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QHostAddress>
+#include <QJsonArray>
+#include <QTemporaryDir>
+#include <QFile>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace papayaline;
+
+/// The instance as a process, before a store and databases of the test.
+class TestRelayProcess : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestRelayProcess);
+  CPPUNIT_TEST(WriteIsReadBackThroughTheInstance);
+  CPPUNIT_TEST(DatabaseUnknownIsRefused);
+  CPPUNIT_TEST(InputMalformedIsAnsweredAndOthersGoOn);
+  CPPUNIT_TEST(ConfigurationChangedIsInForce);
+  CPPUNIT_TEST(StoreSilentInstanceStaysReadyAndServes);
+  CPPUNIT_TEST(StoreBackChangeOfTheOutageIsInForce);
+  CPPUNIT_TEST(PrimaryKilledIsReplaced);
+  CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr int kPatienceMs = 15'000;
+
+  QTemporaryDir mDirectory;
+  std::unique_ptr<LineDatabases> mDatabases;
+  std::unique_ptr<LineStore> mStore;
+  std::unique_ptr<ChildProcess> mInstance;
+  quint16 mCallerPort = 0;
+  quint16 mReadyPort = 0;
+  int mVersion = 0;
+
+  template<typename Condition>
+  static bool Await(Condition aCondition)
+  {
+    QElapsedTimer timer;
+    timer.start();
+    while (!aCondition()) {
+      if (timer.elapsed() > kPatienceMs) {
+        return false;
+      }
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+    }
+    return true;
+  }
+
+  static quint16 FreePort()
+  {
+    QTcpServer server;
+    server.listen(QHostAddress::LocalHost);
+    return server.serverPort();
+  }
+
+  /// A session; answers are read up to their last line.
+  class Session
+  {
+  public:
+    Session(quint16 aPort, const QByteArray& aDatabase)
+    {
+      mSocket.connectToHost(QHostAddress::LocalHost, aPort);
+      Await([&] { return mSocket.state() == QTcpSocket::ConnectedState; });
+      mSocket.write("STARTUP " + aDatabase + " till-1\r\n");
+      mWelcome = ReadAnswer();
+    }
+
+    QByteArray Say(const QByteArray& aText)
+    {
+      mSocket.write("QUERY r" + QByteArray::number(++mRequests) + " " + aText +
+                    "\r\n");
+      return ReadAnswer();
+    }
+
+    QByteArray ReadAnswer()
+    {
+      QByteArray bytes;
+      Await([&] {
+        bytes += mSocket.readAll();
+        return (bytes.contains("READY ") && bytes.endsWith("\r\n")) ||
+               mSocket.state() == QTcpSocket::UnconnectedState;
+      });
+      return bytes;
+    }
+
+    QByteArray mWelcome;
+    QTcpSocket mSocket;
+
+  private:
+    int mRequests = 0;
+  };
+
+  void Configure(const QStringList& aDatabases)
+  {
+    QJsonArray routes;
+    for (const auto& it : aDatabases) {
+      routes.append(QJsonObject{ { "database", it },
+                                 { "routeKind", "primary" },
+                                 { "timeoutMs", 1000 },
+                                 { "targetLatencyMs", 200 },
+                                 { "priority", 1 },
+                                 { "backend", "group-1" } });
+    }
+    mStore->Put("config",
+                "main",
+                { { "configVersion", ++mVersion },
+                  { "routes", routes },
+                  { "backends",
+                    QJsonArray{ QJsonObject{ { "name", "group-1" },
+                                             { "maxConns", 20 } } } },
+                  { "limits", QJsonObject{ { "txIdleMs", 3000 } } } });
+  }
+
+  void List()
+  {
+    for (const auto& it : mDatabases->All()) {
+      const auto address =
+        "127.0.0.1:" + QString::number(it->mServer->serverPort());
+      mStore->Put("servers",
+                  QString::fromStdString(it->mName),
+                  { { "backend", "group-1" },
+                    { "address", address },
+                    { "zone", "z" },
+                    { "slots", 3 },
+                    { "state", "ready" },
+                    { "coldLeftMs", 0 },
+                    { "dbRole", it->mIsPrimary ? "primary" : "replica" },
+                    { "born", 1 } });
+    }
+    mStore->Put("servers", "noise", { { "backend", 7 } });
+  }
+
+  QString WriteSettings()
+  {
+    const auto local = [](quint16 aPort) {
+      return "\"127.0.0.1:" + QByteArray::number(aPort) + "\"\n";
+    };
+    QFile file(mDirectory.filePath("settings.yaml"));
+    file.open(QIODevice::WriteOnly);
+    file.write("instance: entry-1\nfailure_domain: z\ncaller_address: " +
+               local(mCallerPort) + "relay:\n  readiness_address: " +
+               local(mReadyPort) + "  readiness_path: /ready\n" +
+               "  metrics_address: " + local(FreePort()) + "  store: " +
+               local(mStore->Port()) + "  promotion: " + local(mStore->Port()) +
+               "  grace: 6s\n");
+    return file.fileName();
+  }
+
+  int ReadyStatus() const
+  {
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress::LocalHost, mReadyPort);
+    if (!socket.waitForConnected(1000)) {
+      return 0;
+    }
+    socket.write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    return socket.waitForReadyRead(1000)
+             ? socket.readAll().split(' ').value(1).toInt()
+             : 0;
+  }
+
+  bool IsReady() const { return ReadyStatus() == 200; }
+
+public:
+  void setUp() override
+  {
+    mDatabases = std::make_unique<LineDatabases>();
+    mStore = std::make_unique<LineStore>();
+    mStore->mOnPromote = [this](const QString& aName) {
+      return mDatabases->Promote(aName.toStdString());
+    };
+    mVersion = 0;
+    Configure({ "bookings" });
+    List();
+    mCallerPort = FreePort();
+    mReadyPort = FreePort();
+    mInstance = std::make_unique<ChildProcess>(
+      "Services/Papayalined/papayalined",
+      QStringList{ "--settings=" + WriteSettings() });
+    CPPUNIT_ASSERT(Await([this] { return IsReady(); }));
+  }
+
+  void tearDown() override
+  {
+    mInstance.reset();
+    mStore.reset();
+    mDatabases.reset();
+  }
+
+  void WriteIsReadBackThroughTheInstance()
+  {
+    Session writer(mCallerPort, "bookings");
+    CPPUNIT_ASSERT(writer.mWelcome.startsWith("READY I"));
+    const auto written = writer.Say("WRITE 7 two vans");
+    CPPUNIT_ASSERT(written.contains("COMPLETE signed-by-db-a"));
+    Session reader(mCallerPort, "bookings");
+    CPPUNIT_ASSERT(reader.Say("READ 7").contains("ROW two vans"));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mDatabases->Primary().mWrites);
+  }
+
+  void DatabaseUnknownIsRefused()
+  {
+    const Session session(mCallerPort, "nothing");
+    CPPUNIT_ASSERT(session.mWelcome.startsWith("ERROR NODB"));
+  }
+
+  void InputMalformedIsAnsweredAndOthersGoOn()
+  {
+    Session bad(mCallerPort, "bookings");
+    CPPUNIT_ASSERT(bad.Say("DROP everything").contains("ERROR MALFORMED"));
+    CPPUNIT_ASSERT(bad.Say("READ 1").contains("COMPLETE signed"));
+    Session endless(mCallerPort, "bookings");
+    endless.mSocket.write(QByteArray(3'000'000, 'x'));
+    CPPUNIT_ASSERT(endless.ReadAnswer().contains("ERROR MALFORMED"));
+    Session half(mCallerPort, "bookings");
+    half.mSocket.write("QUERY 1 READ");
+    Session good(mCallerPort, "bookings");
+    CPPUNIT_ASSERT(good.Say("READ 1").contains("COMPLETE signed"));
+  }
+
+  void ConfigurationChangedIsInForce()
+  {
+    Configure({ "bookings", "scores" });
+    CPPUNIT_ASSERT(Await([this] {
+      return Session(mCallerPort, "scores").mWelcome.startsWith("READY");
+    }));
+    Configure({ "scores" });
+    CPPUNIT_ASSERT(Await([this] {
+      return Session(mCallerPort, "bookings").mWelcome.startsWith("ERROR NODB");
+    }));
+  }
+
+  void StoreSilentInstanceStaysReadyAndServes()
+  {
+    mStore->SetSilent(true);
+    Session session(mCallerPort, "bookings");
+    // Longer than a watch may take.
+    QElapsedTimer timer;
+    timer.start();
+    while (timer.elapsed() < 6000) {
+      CPPUNIT_ASSERT(session.Say("WRITE 1 x").contains("COMPLETE signed"));
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 200);
+    }
+    CPPUNIT_ASSERT(IsReady());
+  }
+
+  void StoreBackChangeOfTheOutageIsInForce()
+  {
+    mStore->SetSilent(true);
+    Configure({ "bookings", "scores" });
+    QElapsedTimer timer;
+    timer.start();
+    while (timer.elapsed() < 6000) {
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 200);
+    }
+    mStore->SetSilent(false);
+    CPPUNIT_ASSERT(Await([this] {
+      return Session(mCallerPort, "scores").mWelcome.startsWith("READY");
+    }));
+  }
+
+  void PrimaryKilledIsReplaced()
+  {
+    Session session(mCallerPort, "bookings");
+    CPPUNIT_ASSERT(session.Say("WRITE 1 before").contains("COMPLETE"));
+    mDatabases->Kill("db-a");
+    CPPUNIT_ASSERT(Await(
+      [&] { return session.Say("WRITE 1 after").contains("COMPLETE signed"); }));
+    CPPUNIT_ASSERT(session.Say("READ 1").contains("ROW after"));
+    CPPUNIT_ASSERT(!mStore->mTokens.empty() && mStore->mTokens.front() > 0);
+    CPPUNIT_ASSERT(mStore->Find("papayaline-duties", "promotion")["holder"]
+                     .toString() == "entry-1");
+  }
+
+  void TerminatedFinishesTheTransactionAndExits()
+  {
+    Session session(mCallerPort, "bookings");
+    session.Say("BEGIN");
+    CPPUNIT_ASSERT(session.Say("WRITE 1 x").contains("COMPLETE signed"));
+    mInstance->Terminate();
+    CPPUNIT_ASSERT(Await([this] { return ReadyStatus() == 503; }));
+    CPPUNIT_ASSERT(session.Say("COMMIT").contains("COMPLETE signed"));
+    CPPUNIT_ASSERT(Await([&] {
+      return session.mSocket.state() == QTcpSocket::UnconnectedState;
+    }));
+    CPPUNIT_ASSERT_EQUAL(0, mInstance->WaitForExit(kPatienceMs));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mDatabases->Primary().mWrites);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRelayProcess);
--- /dev/null
+++ b/Tests/StandIns/Line/LineDatabases.cpp
@@ -0,0 +1,211 @@
+#include "LineDatabases.h"
+
+#include <QHostAddress>
+#include <algorithm>
+
+namespace papayaline {
+
+namespace {
+
+QByteArray
+PositionOf(const LineDatabases::Database& aDatabase)
+{
+  return QByteArray::number(quint64(aDatabase.mTerm)) + "." +
+         QByteArray::number(quint64(aDatabase.mOffset));
+}
+
+}
+
+LineDatabases::LineDatabases()
+{
+  for (const auto* it : { "db-a", "db-b", "db-c" }) {
+    auto database = std::make_unique<Database>();
+    database->mName = it;
+    database->mIsPrimary = mDatabases.empty();
+    database->mServer = std::make_unique<QTcpServer>();
+    database->mServer->listen(QHostAddress::LocalHost);
+    connect(database->mServer.get(),
+            &QTcpServer::newConnection,
+            this,
+            [this, at = database.get()] { Accept(*at); });
+    mDatabases.push_back(std::move(database));
+  }
+}
+
+LineDatabases::~LineDatabases()
+{
+  for (const auto& it : mDatabases) {
+    for (auto* socket : it->mSockets) {
+      socket->disconnect(this);
+    }
+  }
+}
+
+LineDatabases::Database&
+LineDatabases::At(const std::string& aName)
+{
+  return **std::ranges::find_if(
+    mDatabases, [&](const auto& aIt) { return aIt->mName == aName; });
+}
+
+LineDatabases::Database&
+LineDatabases::Primary()
+{
+  return **std::ranges::max_element(mDatabases, {}, [](const auto& aIt) {
+    return std::pair(aIt->mIsPrimary, aIt->mTerm);
+  });
+}
+
+void
+LineDatabases::Kill(const std::string& aName)
+{
+  auto& database = At(aName);
+  database.mIsAlive = false;
+  database.mServer->close();
+  const auto sockets = std::exchange(database.mSockets, {});
+  for (auto* it : sockets) {
+    it->abort();
+  }
+}
+
+bool
+LineDatabases::Promote(const std::string& aName)
+{
+  auto& database = At(aName);
+  if (!database.mIsAlive) {
+    return false;
+  }
+  const auto term = Primary().mTerm + 1;
+  for (auto& it : mDatabases) {
+    it->mFencedTerm = 0;
+    if (it->mIsAlive) {
+      it->mTerm = term;
+      it->mIsPrimary = it.get() == &database;
+    }
+  }
+  return true;
+}
+
+void
+LineDatabases::Accept(Database& aDatabase)
+{
+  while (auto* socket = aDatabase.mServer->nextPendingConnection()) {
+    aDatabase.mSockets.push_back(socket);
+    const auto connection = std::make_shared<Connection>();
+    connect(socket, &QTcpSocket::readyRead, this, [=, this, &aDatabase] {
+      connection->mBuffer += socket->readAll();
+      qsizetype end = 0;
+      while ((end = connection->mBuffer.indexOf("\r\n")) >= 0) {
+        const auto line = connection->mBuffer.left(end);
+        connection->mBuffer.remove(0, end + 2);
+        socket->write(Answer(aDatabase, *connection, line));
+      }
+    });
+    connect(socket, &QTcpSocket::disconnected, this, [socket, &aDatabase] {
+      std::erase(aDatabase.mSockets, socket);
+      socket->deleteLater();
+    });
+  }
+}
+
+QByteArray
+LineDatabases::Answer(Database& aDatabase,
+                      Connection& aConnection,
+                      const QByteArray& aLine)
+{
+  const auto ready = [&] {
+    return QByteArray("READY ") + (aConnection.mIsInTransaction ? "T " : "I ") +
+           PositionOf(aDatabase) + "\r\n";
+  };
+  const auto words = aLine.split(' ');
+  if (words[0] == "STARTUP") {
+    const bool isRight = words.size() == 4 && words[1] == "group-1" &&
+                         words[3].toStdString() == aDatabase.mName;
+    return isRight ? ready() : QByteArray("ERROR MOVED -\r\n");
+  }
+  const auto text = aLine.mid(aLine.indexOf(' ', 6) + 1);
+  const auto answer = Run(aDatabase, aConnection, text);
+  return answer + ready();
+}
+
+QByteArray
+LineDatabases::Run(Database& aDatabase,
+                   Connection& aConnection,
+                   QByteArray aText)
+{
+  if (aText.startsWith("AFTER ")) {
+    aText = aText.mid(aText.indexOf(' ', 6) + 1);
+  }
+  const auto words = aText.split(' ');
+  const auto& word = words[0];
+  const QByteArray done = "COMPLETE -\r\n";
+  const QByteArray signedDone =
+    "COMPLETE signed-by-" + QByteArray::fromStdString(aDatabase.mName) + "\r\n";
+  if (word == "STATUS" || word == "PAUSE" || word == "RESUME" ||
+      word == "STEPDOWN") {
+    if (word == "PAUSE") {
+      aDatabase.mFencedTerm = words[1].toULongLong();
+    } else if (word == "RESUME") {
+      aDatabase.mFencedTerm = 0;
+    } else if (word == "STEPDOWN") {
+      aDatabase.mIsPrimary = false;
+    }
+    return QByteArray("ROW ") + (aDatabase.mIsPrimary ? "primary " : "replica ") +
+           QByteArray::number(quint64(aDatabase.mTerm)) + " " +
+           PositionOf(aDatabase) + " " +
+           QByteArray::number(quint64(aDatabase.mFencedTerm)) + " 0 0 " +
+           QByteArray::number(aDatabase.mSockets.size()) + "\r\n" + done;
+  }
+  if (word == "WRITE" || aText == "BEGIN") {
+    if (!aDatabase.mIsPrimary) {
+      return "ERROR READONLY -\r\n";
+    }
+  }
+  if (word == "BEGIN" || word == "ROLLBACK") {
+    aConnection.mIsInTransaction = word == "BEGIN";
+    aConnection.mStaged.clear();
+    return done;
+  }
+  if (word == "WRITE") {
+    const auto item = words[1].toStdString();
+    const auto value = aText.mid(aText.indexOf(' ', 6) + 1).toStdString();
+    if (aConnection.mIsInTransaction) {
+      aConnection.mStaged.emplace_back(item, value);
+    } else {
+      Commit(aDatabase, item, value);
+    }
+    return signedDone;
+  }
+  if (word == "COMMIT") {
+    for (const auto& [item, value] : aConnection.mStaged) {
+      Commit(aDatabase, item, value);
+    }
+    aConnection.mStaged.clear();
+    aConnection.mIsInTransaction = false;
+    return signedDone;
+  }
+  if (word == "READ") {
+    const auto row = aDatabase.mRows[words[1].toStdString()];
+    return "ROW " + QByteArray::fromStdString(row) + "\r\n" + signedDone;
+  }
+  return done;
+}
+
+void
+LineDatabases::Commit(Database& aDatabase,
+                      const std::string& aItem,
+                      const std::string& aValue)
+{
+  ++aDatabase.mWrites;
+  ++aDatabase.mOffset;
+  aDatabase.mRows[aItem] = aValue;
+  for (auto& it : mDatabases) {
+    if (it->mIsAlive && it->mTerm == aDatabase.mTerm &&
+        it->mFencedTerm == 0 && it.get() != &aDatabase) {
+      it->mOffset = aDatabase.mOffset;
+      it->mRows = aDatabase.mRows;
+    }
+  }
+}
+
+}
