LinkPool: Come back later, and spread, when a database has no connections left

Connections were also closed and opened again from three quarters of the limit on. Change: refusals for lack of connections back off to 1.6 s, spread by half; idle connections go when only the reserve is left (the test's example moves with the rule, from 40 to 41 of 46).

--- a/Libraries/LibDecision/ConnectionBudget.cpp
+++ b/Libraries/LibDecision/ConnectionBudget.cpp
@@ -22,9 +22,11 @@
   ConnectionPlan plan;
   plan.mAllowance =
     std::clamp(aOwn + (spare + 3) / 4, 1U, std::max(aLimit / 3, 1U));
-  // Three quarters in use: every idle one keeps another instance waiting. The
-  // span still covers the pause between two statements of one caller.
-  if (aTotal * 4 >= aLimit * 3) {
+  // Down to the reserve: every idle one keeps another instance waiting. The
+  // span still covers the pause between two statements of one caller. Not
+  // before, since opening a connection takes a slot of the database for a
+  // while.
+  if (aTotal >= usable) {
     plan.mMinimum = 0;
     plan.mIdleTimeout = std::chrono::milliseconds(40);
   }
--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -37,8 +37,8 @@
 /// aTotal of aLimit in use. Without a list of instances the database's own
 /// count is what keeps the sum within the limit: an instance takes a quarter of
 /// what is spare, and always one. The reserve is left to instances that start.
-/// Where most are taken, as when there are more instances than connections,
-/// none is kept without need. Pure; any thread.
+/// Where all but the reserve are taken, as when there are more instances than
+/// connections, none is kept without need. Pure; any thread.
 ConnectionPlan
 PlanConnections(unsigned aLimit, unsigned aTotal, unsigned aOwn);
 
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -119,8 +119,7 @@
   } else {
     Remove(aLink);
     mFailure = aError;
-    const auto delay = mSettings.mRetryDelay * (1 << std::min(mFailures, 3U));
-    mRetryAt = mClock() + std::min(delay, mSettings.mMaxRetryDelay);
+    mRetryAt = mClock() + RetryDelay(*aError);
     ++mFailures;
     if (mOnFailure) {
       mOnFailure(*aError);
@@ -129,6 +128,25 @@
   mOnChange();
 }
 
+/// Doubles with each failure, and is spread by half so that instances that
+/// started together do not come back together.
+Duration
+LinkPool::RetryDelay(const Error& aError) const
+{
+  constexpr unsigned kMaxDoublings = 4;
+  constexpr int kSpreadSteps = 64;
+  const auto limit = aError.mKind == ErrorKind::ConnectionLimit
+                       ? mSettings.mMaxLimitDelay
+                       : mSettings.mMaxRetryDelay;
+  const auto delay = std::min<Duration>(
+    mSettings.mRetryDelay * (1 << std::min(mFailures, kMaxDoublings)), limit);
+  const auto microseconds =
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      mClock().time_since_epoch())
+      .count();
+  return delay / 2 + delay * (microseconds % kSpreadSteps) / kSpreadSteps / 2;
+}
+
 LinkPool::Entry*
 LinkPool::Find(const LinkPointer& aLink)
 {
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -10,11 +10,12 @@
   /// Above the time of a handshake, far below the silence that a failover
   /// waits for.
   Duration mOpenTimeout = std::chrono::milliseconds(600);
-  /// After a failed attempt; grows to the maximum while attempts fail. Below
-  /// the silence of a primary after which it is replaced: a refused attempt
-  /// shows that it lives.
+  /// After a failed attempt; grows to the maximum while attempts fail.
   Duration mRetryDelay = std::chrono::milliseconds(100);
   Duration mMaxRetryDelay = std::chrono::milliseconds(400);
+  /// The same after refusals for lack of connections: attempts of many
+  /// instances take slots from the statements of those that have one.
+  Duration mMaxLimitDelay = std::chrono::milliseconds(1600);
   /// A rollback that takes longer will not be answered.
   Duration mReleaseTimeout = std::chrono::seconds(2);
 };
@@ -71,6 +72,7 @@
   void OnState(const LinkPointer& aLink, const std::optional<Error>& aError);
   Entry* Find(const LinkPointer& aLink);
   bool MayOpen(unsigned aLimit) const;
+  Duration RetryDelay(const Error& aError) const;
   size_t FreeCount() const;
   unsigned OpeningCount() const;
   void Remove(const LinkPointer& aLink);
--- a/Services/Papayalined/CallerSession.cpp
+++ b/Services/Papayalined/CallerSession.cpp
@@ -265,8 +265,9 @@
 }
 
 /// Moves to the worker of the group, so that requests need no lock. The move
-/// waits for the event loop: the caller of this function still uses the session
-/// and its socket on the present thread.
+/// waits for the event loop, because the caller of this function still uses the
+/// session, and is run by the worker: Qt touches the receiver of an event after
+/// it was handled, when the other thread may have deleted the session.
 void
 CallerSession::EnterGroup()
 {
@@ -274,19 +275,25 @@
   mState = State::Busy;
   Flush();
   QMetaObject::invokeMethod(
-    this, [this] { MoveToGroupWorker(); }, Qt::QueuedConnection);
+    mWorker,
+    [session = QPointer(this)] {
+      if (session) {
+        session->MoveToGroupWorker();
+      }
+    },
+    Qt::QueuedConnection);
 }
 
 void
 CallerSession::MoveToGroupWorker()
 {
   auto& worker = mContext.mWorkers.WorkerOf(mParameters.Group().toStdString());
-  if (&worker != mWorker) {
+  const bool isMoving = &worker != mWorker;
+  if (isMoving) {
     mWorker->Forget(this);
     mWorker = &worker;
-    moveToThread(worker.thread());
   }
-  // Nothing of the session may be touched here after the move.
+  // Posted events move along with the session.
   QMetaObject::invokeMethod(
     this,
     [this] {
@@ -294,6 +301,10 @@
       Welcome();
     },
     Qt::QueuedConnection);
+  if (isMoving) {
+    moveToThread(worker.thread());
+    // The other thread may have deleted the session by now.
+  }
 }
 
 void
--- a/Tests/LibDecision/TestConnectionBudget.cpp
+++ b/Tests/LibDecision/TestConnectionBudget.cpp
@@ -40,7 +40,7 @@
   /// 61 instances before databases of 46 connections.
   void ScarceConnectionsAreNotKept()
   {
-    const auto plan = PlanConnections(46, 40, 1);
+    const auto plan = PlanConnections(46, 41, 1);
     CPPUNIT_ASSERT_EQUAL(0U, plan.mMinimum);
     CPPUNIT_ASSERT(plan.mIdleTimeout < PlanConnections(46, 10, 1).mIdleTimeout);
   }
--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -4,10 +4,10 @@
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
+#include <QFile>
 #include <QHostAddress>
 #include <QJsonArray>
 #include <QTemporaryDir>
-#include <QFile>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace papayaline;
@@ -141,12 +141,12 @@
     };
     QFile file(mDirectory.filePath("settings.yaml"));
     file.open(QIODevice::WriteOnly);
-    file.write("instance: entry-1\nfailure_domain: z\ncaller_address: " +
-               local(mCallerPort) + "relay:\n  readiness_address: " +
-               local(mReadyPort) + "  readiness_path: /ready\n" +
-               "  metrics_address: " + local(FreePort()) + "  store: " +
-               local(mStore->Port()) + "  promotion: " + local(mStore->Port()) +
-               "  grace: 6s\n");
+    file.write(
+      "instance: entry-1\nfailure_domain: z\ncaller_address: " +
+      local(mCallerPort) + "relay:\n  readiness_address: " + local(mReadyPort) +
+      "  readiness_path: /ready\n" + "  metrics_address: " + local(FreePort()) +
+      "  store: " + local(mStore->Port()) +
+      "  promotion: " + local(mStore->Port()) + "  grace: 6s\n");
     return file.fileName();
   }
 
@@ -268,12 +268,14 @@
     Session session(mCallerPort, "bookings");
     CPPUNIT_ASSERT(session.Say("WRITE 1 before").contains("COMPLETE"));
     mDatabases->Kill("db-a");
-    CPPUNIT_ASSERT(Await(
-      [&] { return session.Say("WRITE 1 after").contains("COMPLETE signed"); }));
+    CPPUNIT_ASSERT(Await([&] {
+      return session.Say("WRITE 1 after").contains("COMPLETE signed");
+    }));
     CPPUNIT_ASSERT(session.Say("READ 1").contains("ROW after"));
     CPPUNIT_ASSERT(!mStore->mTokens.empty() && mStore->mTokens.front() > 0);
-    CPPUNIT_ASSERT(mStore->Find("papayaline-duties", "promotion")["holder"]
-                     .toString() == "entry-1");
+    CPPUNIT_ASSERT(
+      mStore->Find("papayaline-duties", "promotion")["holder"].toString() ==
+      "entry-1");
   }
 
   void TerminatedFinishesTheTransactionAndExits()
@@ -284,9 +286,8 @@
     mInstance->Terminate();
     CPPUNIT_ASSERT(Await([this] { return ReadyStatus() == 503; }));
     CPPUNIT_ASSERT(session.Say("COMMIT").contains("COMPLETE signed"));
-    CPPUNIT_ASSERT(Await([&] {
-      return session.mSocket.state() == QTcpSocket::UnconnectedState;
-    }));
+    CPPUNIT_ASSERT(Await(
+      [&] { return session.mSocket.state() == QTcpSocket::UnconnectedState; }));
     CPPUNIT_ASSERT_EQUAL(0, mInstance->WaitForExit(kPatienceMs));
     CPPUNIT_ASSERT_EQUAL(size_t(1), mDatabases->Primary().mWrites);
   }
--- a/Tests/StandIns/Line/LineDatabases.cpp
+++ b/Tests/StandIns/Line/LineDatabases.cpp
@@ -150,7 +150,8 @@
     } else if (word == "STEPDOWN") {
       aDatabase.mIsPrimary = false;
     }
-    return QByteArray("ROW ") + (aDatabase.mIsPrimary ? "primary " : "replica ") +
+    return QByteArray("ROW ") +
+           (aDatabase.mIsPrimary ? "primary " : "replica ") +
            QByteArray::number(quint64(aDatabase.mTerm)) + " " +
            PositionOf(aDatabase) + " " +
            QByteArray::number(quint64(aDatabase.mFencedTerm)) + " 0 0 " +
@@ -200,8 +201,8 @@
   ++aDatabase.mOffset;
   aDatabase.mRows[aItem] = aValue;
   for (auto& it : mDatabases) {
-    if (it->mIsAlive && it->mTerm == aDatabase.mTerm &&
-        it->mFencedTerm == 0 && it.get() != &aDatabase) {
+    if (it->mIsAlive && it->mTerm == aDatabase.mTerm && it->mFencedTerm == 0 &&
+        it.get() != &aDatabase) {
       it->mOffset = aDatabase.mOffset;
       it->mRows = aDatabase.mRows;
     }
--- a/Tests/StandIns/Line/LineStore.cpp
+++ b/Tests/StandIns/Line/LineStore.cpp
@@ -93,7 +93,8 @@
   const auto body = QJsonDocument::fromJson(aBody).object();
   if (url.path() == "/promote") {
     const auto at = aHead.toLower().indexOf("x-fencing-token:");
-    mTokens.push_back(aHead.mid(at + 16).split('\r').first().trimmed().toULongLong());
+    mTokens.push_back(
+      aHead.mid(at + 16).split('\r').first().trimmed().toULongLong());
     Send(aSocket, { mOnPromote(body["id"].toString()) ? 200 : kConflict, {} });
     return;
   }
@@ -151,8 +152,8 @@
   QJsonArray events;
   for (const auto& it : mChanges) {
     if (it.mKind == aWatch.mKind && it.mRevision > aWatch.mAfter) {
-      events.append(QJsonObject{ { "deleted", it.mIsDeleted },
-                                 { "object", it.mObject } });
+      events.append(
+        QJsonObject{ { "deleted", it.mIsDeleted }, { "object", it.mObject } });
     }
   }
   if (events.isEmpty() && !aIsLast) {
@@ -189,9 +190,10 @@
   const auto it = mObjects.find({ aKind, aName });
   const bool exists = it != mObjects.end();
   const auto expected = aBody["meta"].toObject()["revision"].toInteger();
-  if (exists && (aCreates || (expected != 0 &&
-                              expected != it->second["meta"].toObject()["revision"]
-                                            .toInteger()))) {
+  if (exists &&
+      (aCreates ||
+       (expected != 0 &&
+        expected != it->second["meta"].toObject()["revision"].toInteger()))) {
     return { kConflict, it->second };
   }
   if (!exists && !aCreates) {
--- a/Tests/StandIns/Line/LineStore.h
+++ b/Tests/StandIns/Line/LineStore.h
@@ -18,7 +18,9 @@
 
   quint16 Port() const { return mServer.serverPort(); }
   /// Writes as the operator or a database does.
-  void Put(const QString& aKind, const QString& aName, const QJsonObject& aSpec);
+  void Put(const QString& aKind,
+           const QString& aName,
+           const QJsonObject& aSpec);
   void Remove(const QString& aKind, const QString& aName);
   QJsonObject Find(const QString& aKind, const QString& aName) const;
   /// While set, connections are accepted and nothing is answered.
