--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -97,7 +97,7 @@
 }
 
 void
-GroupView::ObserveFailure(const std::string& aName, Instant)
+GroupView::ObserveFailure(const std::string& aName)
 {
   if (FindMember(aName)) {
     mKnowledge[aName].mIsFailing = true;
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -83,7 +83,7 @@
   /// A write was refused because the database does not lead.
   void ObserveNotPrimary(const std::string& aName);
   /// A connection failed or a request went unanswered.
-  void ObserveFailure(const std::string& aName, Instant aNow);
+  void ObserveFailure(const std::string& aName);
 
   /// The primary of the highest term seen, or nothing while that term's primary
   /// is not known.
--- a/Libraries/LibDecision/TakeoverMachine.cpp
+++ b/Libraries/LibDecision/TakeoverMachine.cpp
@@ -108,7 +108,7 @@
   if (aNow < mRetryAt) {
     return;
   }
-  auto cause = FindCause(aView, aNow);
+  auto cause = FindCause(aView);
   if (!cause && isStray) {
     cause = TakeoverCause::StrayFence;
   }
@@ -129,7 +129,7 @@
 }
 
 std::optional<TakeoverCause>
-TakeoverMachine::FindCause(const GroupView& aView, Instant) const
+TakeoverMachine::FindCause(const GroupView& aView) const
 {
   const auto& members = aView.Members();
   const bool hasSuccessor = std::ranges::any_of(members, [&](const auto& it) {
@@ -188,7 +188,7 @@
 void
 TakeoverMachine::Begin(const GroupView& aView, Instant aNow)
 {
-  const auto cause = FindCause(aView, aNow);
+  const auto cause = FindCause(aView);
   if (!cause && *mCause != TakeoverCause::StrayFence) {
     Finish(aView, aNow, "recovered");
     return;
--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -127,8 +127,6 @@
   /// Whether the primary is silent here while its replicas go on receiving:
   /// other instances reach it.
   bool IsCutOff() const { return mIsWitnessed; }
-  bool IsIdle() const { return mState == State::Watching; }
-  std::optional<TakeoverCause> Cause() const { return mCause; }
 
 private:
   enum class State
@@ -147,8 +145,7 @@
   bool IsGranted(const GroupView& aView, const GroupMember& aMember) const;
   bool HasEnoughFences(const GroupView& aView) const;
   bool WantsFence(const GroupView& aView, const GroupMember& aMember) const;
-  std::optional<TakeoverCause> FindCause(const GroupView& aView,
-                                         Instant aNow) const;
+  std::optional<TakeoverCause> FindCause(const GroupView& aView) const;
   bool HasStrayFence(const GroupView& aView, Instant aNow);
   void Begin(const GroupView& aView, Instant aNow);
   void SendFences(const GroupView& aView, Instant aNow);
--- a/Libraries/LibRelay/Journey.h
+++ b/Libraries/LibRelay/Journey.h
@@ -21,7 +21,6 @@
   /// When it was first sent to a database.
   std::optional<Instant> mSentAt;
   Instant mLastSentAt;
-  std::optional<Error> mLastRefusal;
   RelayVerdict mWaitsFor = RelayVerdict::WaitForConnection;
   bool mIsFinished = false;
   bool mIsConfirming = false;
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -45,7 +45,7 @@
 bool
 LinkPool::MayOpen(unsigned aLimit) const
 {
-  return !mIsRetired && mEntries.size() < aLimit && mClock() >= mRetryAt;
+  return mEntries.size() < aLimit && mClock() >= mRetryAt;
 }
 
 size_t
@@ -168,10 +168,6 @@
     return;
   }
   entry->mIsLeased = false;
-  if (mIsRetired && aLink->IsClean()) {
-    Discard(aLink);
-    return;
-  }
   if (aLink->IsReady() && aLink->Transaction() != TransactionState::None) {
     UpstreamCommand rollback;
     rollback.mForm = CommandForm::Rollback;
@@ -193,14 +189,16 @@
 LinkPool::Tick(Instant aNow)
 {
   std::vector<LinkPointer> late;
+  auto spare =
+    mEntries.size() - std::min<size_t>(mEntries.size(), mPlan.mMinimum);
   for (const auto& it : mEntries) {
     const auto& link = it.mLink;
     const bool isOpening = link->GetState() == UpstreamLink::State::Opening;
     const bool isStuck =
       isOpening && aNow - link->WaitingSince() >= mSettings.mOpenTimeout;
-    const bool isSpare = !it.mIsLeased && link->IsClean() &&
-                         (mIsRetired || mEntries.size() > mPlan.mMinimum) &&
+    const bool isSpare = !it.mIsLeased && link->IsClean() && spare > 0 &&
                          aNow - link->LastUsedAt() >= mPlan.mIdleTimeout;
+    spare -= isSpare ? 1 : 0;
     const bool isUnanswered =
       !it.mIsLeased && link->PendingCount() > 0 &&
       aNow - link->WaitingSince() >= mSettings.mReleaseTimeout;
@@ -223,17 +221,4 @@
   }
 }
 
-void
-LinkPool::Retire()
-{
-  mIsRetired = true;
-  std::erase_if(mEntries, [](const auto& it) {
-    const bool isIdle = !it.mIsLeased;
-    if (isIdle) {
-      it.mLink->Drop();
-    }
-    return isIdle;
-  });
-}
-
 }
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -52,8 +52,6 @@
 
   /// Keeps the minimum of links open, and drops what timed out.
   void Tick(Instant aNow);
-  /// Closes idle links now and others when they are released.
-  void Retire();
 
   unsigned InUse() const;
   size_t Size() const { return mEntries.size(); }
@@ -89,7 +87,6 @@
   std::optional<Error> mFailure;
   unsigned mFailures = 0;
   Instant mRetryAt;
-  bool mIsRetired = false;
 };
 
 }
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -63,7 +63,7 @@
       if (aError.mKind == ErrorKind::ConnectionLimit) {
         mView.ObserveContact(name, mEnvironment.mNow());
       } else {
-        mView.ObserveFailure(name, mEnvironment.mNow());
+        mView.ObserveFailure(name);
       }
     };
     Log("member.added",
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -231,7 +231,7 @@
         return aOther.mLink == call.mLink;
       });
       it.mPool->Discard(call.mLink);
-      mView.ObserveFailure(name, aNow);
+      mView.ObserveFailure(name);
     }
   }
 }
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -346,7 +346,6 @@
 {
   const auto& name = aExchange->mLink->Upstream();
   const auto now = mEnvironment.mNow();
-  aExchange->mJourney->mLastRefusal = aError;
   if (aError.mKind == ErrorKind::NotPrimary) {
     Log("primary.denied", { { "upstream", name } });
     mView.ObserveNotPrimary(name);
--- a/Libraries/LibRelay/RelayRouter.h
+++ b/Libraries/LibRelay/RelayRouter.h
@@ -33,7 +33,6 @@
   /// Null when no configuration names it.
   std::shared_ptr<RelayGroup> FindGroup(const std::string& aName) const;
   Instant Now() const { return mEnvironment.mNow(); }
-  const RelayEnvironment& Environment() const { return mEnvironment; }
 
   void Tick();
   template<typename Use>
--- a/Libraries/LibRelay/UpstreamLink.cpp
+++ b/Libraries/LibRelay/UpstreamLink.cpp
@@ -39,7 +39,7 @@
 }
 
 void
-UpstreamLink::Run(const UpstreamCommand& aCommand, AnswerHandler aHandler)
+UpstreamLink::Run(const UpstreamCommand& aCommand, StatementHandler aHandler)
 {
   const auto now = mClock();
   mLastUsedAt = now;
--- a/Libraries/LibRelay/UpstreamLink.h
+++ b/Libraries/LibRelay/UpstreamLink.h
@@ -8,7 +8,7 @@
 
 namespace papayaline {
 
-using AnswerHandler = std::function<void(const StatementAnswer&)>;
+using StatementHandler = std::function<void(const StatementAnswer&)>;
 
 /// Learns what every answer of a database tells: that it lives, and where its
 /// log stands.
@@ -48,7 +48,7 @@
 
   /// Sends a command; several may be under way. The handler is called once,
   /// with UpstreamLost when the connection ended first. Precondition: Ready.
-  void Run(const UpstreamCommand& aCommand, AnswerHandler aHandler);
+  void Run(const UpstreamCommand& aCommand, StatementHandler aHandler);
 
   /// Closes the connection; handlers of commands under way are not called.
   void Drop();
@@ -73,7 +73,7 @@
   struct Pending
   {
     UpstreamCommand mCommand;
-    AnswerHandler mHandler;
+    StatementHandler mHandler;
     Instant mSentAt;
   };
 
