Tests: Open the relay's written transaction in one place

Cause: six tests repeated the same four lines, found by reading the whole change once more. Change: WriteInTransaction, with the same assertion.

--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -50,6 +50,15 @@
     return route;
   }
 
+  /// Leaves a transaction open that has written once.
+  void WriteInTransaction(FakeUpstreams::Caller& aCaller) const
+  {
+    aCaller.Say("BEGIN");
+    aCaller.Say("WRITE 1 x");
+    mFake->Run(30ms);
+    CPPUNIT_ASSERT(aCaller.IsAnswered());
+  }
+
   size_t RunsOf(const std::string& aText) const
   {
     size_t n = 0;
@@ -275,10 +284,7 @@
   {
     auto caller = mFake->Connect();
     auto other = mFake->Connect();
-    caller->Say("BEGIN");
-    caller->Say("WRITE 1 x");
-    mFake->Run(30ms);
-    CPPUNIT_ASSERT(caller->IsAnswered());
+    WriteInTransaction(*caller);
     other->Say("WRITE 2 y");
     mFake->Run(60ms);
     caller->Say("COMMIT");
@@ -293,10 +299,7 @@
   void TransactionWhoseConnectionEndsIsAborted()
   {
     auto caller = mFake->Connect();
-    caller->Say("BEGIN");
-    caller->Say("WRITE 1 x");
-    mFake->Run(30ms);
-    CPPUNIT_ASSERT(caller->IsAnswered());
+    WriteInTransaction(*caller);
     mFake->At("a").mIsMute = true;
     caller->Say("WRITE 2 y");
     mFake->Run(1200ms);
@@ -309,10 +312,7 @@
   void CommitWhoseAnswerIsLostEndsInDoubt()
   {
     auto caller = mFake->Connect();
-    caller->Say("BEGIN");
-    caller->Say("WRITE 1 x");
-    mFake->Run(30ms);
-    CPPUNIT_ASSERT(caller->IsAnswered());
+    WriteInTransaction(*caller);
     mFake->At("a").mIsMute = true;
     caller->Say("COMMIT");
     mFake->Run(1200ms);
@@ -323,10 +323,7 @@
   void TransactionThatIdlesIsRolledBack()
   {
     auto caller = mFake->Connect();
-    caller->Say("BEGIN");
-    caller->Say("WRITE 1 x");
-    mFake->Run(30ms);
-    CPPUNIT_ASSERT(caller->IsAnswered());
+    WriteInTransaction(*caller);
     caller->mSession->ExpireTransaction(mFake->Now() + 4s);
     caller->Say("COMMIT");
     mFake->Run(20ms);
@@ -347,10 +344,7 @@
   void CallerGoneInTransactionLeavesCleanConnection()
   {
     auto caller = mFake->Connect();
-    caller->Say("BEGIN");
-    caller->Say("WRITE 1 x");
-    mFake->Run(30ms);
-    CPPUNIT_ASSERT(caller->IsAnswered());
+    WriteInTransaction(*caller);
     caller.reset();
     mFake->Run(20ms);
     auto other = mFake->Connect();
@@ -424,10 +418,7 @@
   void RouteRemovedIsRefusedFromTheNextTransaction()
   {
     auto caller = mFake->Connect();
-    caller->Say("BEGIN");
-    caller->Say("WRITE 1 x");
-    mFake->Run(30ms);
-    CPPUNIT_ASSERT(caller->IsAnswered());
+    WriteInTransaction(*caller);
     auto route = Aged(Freshness::Latest);
     route.mDatabase = "another";
     mFake->SetRoute(route);
