RelayGroup: Ask for evidence within the allowed age, and rarely where slots are short

Their replicas lagged by 9 s, so that aged reads met at the primary, where each asked for evidence newer than itself although the route allows 2.5 s; refused for lack of a slot, 71 instances asked again each 4 ms: 42,084 status requests in 10 s in one group against 2,600 in the others. Instances took the refusals for a partition ('cut off') although the databases answered. Ruled out: connection limits alone (the two groups' primaries had free connections in the members lines), a takeover under way (none in group rami15e). Change: a read at the primary needs evidence as old as its route allows; Pace doubles the interval of status requests at each refusal for lack of a slot and halves it at each answer; such a refusal does not count as missing evidence, and what waits for it is refused as overloaded at the target time of its route. Tests: three on databases in memory; two failed before (100 requests for 100 reads; 'cut off' instead of overloaded).

--- a/Libraries/LibDecision/RelayRouting.cpp
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -45,6 +45,14 @@
 
 }
 
+Instant
+EvidenceSince(const RelayNeed& aNeed, const RelayRoutingSettings& aSettings)
+{
+  return aNeed.mMaxAge
+           ? aNeed.mArrivedAt - (*aNeed.mMaxAge - aSettings.mAgeMargin)
+           : aNeed.mArrivedAt;
+}
+
 std::optional<LogPosition>
 PositionForRead(const RelayNeed& aNeed,
                 const GroupView& aView,
@@ -53,9 +61,8 @@
   if (!aNeed.mMaxAge) {
     return std::nullopt;
   }
-  const auto oldest =
-    aNeed.mArrivedAt - (*aNeed.mMaxAge - aSettings.mAgeMargin);
-  const auto frontier = aView.Frontiers().AtOrAfter(oldest);
+  const auto frontier =
+    aView.Frontiers().AtOrAfter(EvidenceSince(aNeed, aSettings));
   if (!frontier) {
     return std::nullopt;
   }
--- a/Libraries/LibDecision/RelayRouting.h
+++ b/Libraries/LibDecision/RelayRouting.h
@@ -64,6 +64,14 @@
   Duration mReplicaPreference = std::chrono::milliseconds(60);
 };
 
+/// How far back evidence may lie for a read: the oldest instant whose
+/// acknowledged writes the read must include. The session's own writes need no
+/// evidence: this instance acknowledged them, and knows their term.
+/// Pure; any thread.
+Instant
+EvidenceSince(const RelayNeed& aNeed,
+              const RelayRoutingSettings& aSettings = {});
+
 /// The position that a replica must have applied for a read, or nothing while
 /// it is not known. Pure; any thread.
 std::optional<LogPosition>
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/LinkPool.h"
 
+#include "LibDecision/Backoff.h"
+
 #include <algorithm>
 
 namespace papayaline {
@@ -134,17 +136,12 @@
 LinkPool::RetryDelay(const Error& aError) const
 {
   constexpr unsigned kMaxDoublings = 4;
-  constexpr int kSpreadSteps = 64;
   const auto limit = aError.mKind == ErrorKind::ConnectionLimit
                        ? mSettings.mMaxLimitDelay
                        : mSettings.mMaxRetryDelay;
   const auto delay = std::min<Duration>(
     mSettings.mRetryDelay * (1 << std::min(mFailures, kMaxDoublings)), limit);
-  const auto microseconds =
-    std::chrono::duration_cast<std::chrono::microseconds>(
-      mClock().time_since_epoch())
-      .count();
-  return delay / 2 + delay * (microseconds % kSpreadSteps) / kSpreadSteps / 2;
+  return SpreadDelay(delay, mClock());
 }
 
 LinkPool::Entry*
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDecision/Backoff.h"
 #include "LibDecision/RetryBudget.h"
 #include "LibDecision/TakeoverMachine.h"
 #include "LibRelay/LinkPool.h"
@@ -19,8 +20,6 @@
   /// configuration asks for none; evidence that the primary still leads is
   /// needed in any case.
   Duration mReplicationWait = std::chrono::milliseconds(100);
-  /// Between two requests for evidence while somebody waits.
-  Duration mEvidenceInterval = std::chrono::milliseconds(4);
   /// A request for evidence that takes longer is put to another replica too.
   Duration mEvidenceTimeout = std::chrono::milliseconds(60);
   /// Evidence that is missing for longer while the primary answers shows that
@@ -206,6 +205,7 @@
               const std::shared_ptr<TransactionHold>& aHold = {});
   void Refuse(const JourneyPointer& aJourney, const Error& aError);
   void LogRefusal(const Journey& aJourney, const Error& aError) const;
+  bool IsWithoutSlots(const Journey& aJourney) const;
   Instant GiveUpAt(const Journey& aJourney) const;
   Error GiveUpReason(const Journey& aJourney) const;
   void ExpireJourneys(Instant aNow);
@@ -242,6 +242,7 @@
                        const CommandMember& aCommand,
                        const ControlCall& aCall,
                        const StatementAnswer& aAnswer);
+  void OnStatusRefused();
   void ExpireCalls(Instant aNow);
   void LogStatus(const ReplicationStatus& aStatus) const;
   void PlanConnectionsOf(const ReplicationStatus& aStatus);
@@ -265,6 +266,7 @@
   /// Reads of open transactions that wait for evidence before they are sent.
   std::list<ExchangePointer> mParked;
   Instant mNextEvidence;
+  Pace mEvidencePace;
   /// Since when evidence was asked for in vain.
   std::optional<Instant> mEvidenceMissingSince;
   Instant mFrontierWantedUntil;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -1,3 +1,4 @@
+#include "LibDecision/Backoff.h"
 #include "LibDecision/ConnectionBudget.h"
 #include "LibRelay/Journey.h"
 #include "LibRelay/RelayGroup.h"
@@ -133,6 +134,9 @@
   it->second.mPool->Release(aCall.mLink);
   auto status = mProtocol->StatusOf(aAnswer);
   if (status.IsError()) {
+    if (status.GetError().mKind == ErrorKind::QueueFull) {
+      OnStatusRefused();
+    }
     if (aCommand.mCommand != ControlCommand::AskStatus) {
       Log(
         "command.refused",
@@ -148,6 +152,7 @@
   known.mAskedAt = aCall.mAskedAt;
   PlanConnectionsOf(known);
   LogStatus(known);
+  mEvidencePace.OnAnswered();
   const auto before = mView.Primary();
   mView.ObserveStatus(known, mEnvironment.mNow());
   if (mView.Primary() && mView.IsUnreplaced(*mView.Primary(), aCall.mAskedAt)) {
@@ -164,6 +169,18 @@
   Dispatch();
 }
 
+/// The database has no slot for a status request. It answers, so this instance
+/// is not cut off from it.
+void
+RelayGroup::OnStatusRefused()
+{
+  const auto now = mEnvironment.mNow();
+  mEvidencePace.OnRefused();
+  mNextEvidence = std::max(
+    mNextEvidence, now + SpreadDelay(mEvidencePace.Interval(), now));
+  mEvidenceMissingSince.reset();
+}
+
 std::vector<std::pair<std::string, std::string>>
 RelayGroup::DescribeMembers() const
 {
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -260,13 +260,14 @@
   });
 }
 
-/// A read must not even run at a primary that was replaced before it arrived.
+/// A read must not even run at a primary that was replaced before the instant
+/// that it must show.
 bool
 RelayGroup::MayRunAt(const PrimaryOfGroup& aPrimary,
                      const RelayRequest& aRequest) const
 {
   const auto since = aRequest.mAccess == Access::Read
-                       ? aRequest.mArrivedAt
+                       ? EvidenceSince(NeedOf(aRequest))
                        : mEnvironment.mNow() - mSettings.mLeadershipAge;
   return !IsDoubtful(aPrimary) && mView.IsUnreplaced(aPrimary, since);
 }
--- a/Libraries/LibRelay/RelayGroupEnding.cpp
+++ b/Libraries/LibRelay/RelayGroupEnding.cpp
@@ -60,6 +60,14 @@
         { "queued", std::to_string(mJourneys.size()) } });
 }
 
+/// Whether the evidence that a statement waits for is refused for lack of slots.
+bool
+RelayGroup::IsWithoutSlots(const Journey& aJourney) const
+{
+  return aJourney.mWaitsFor == RelayVerdict::WaitForEvidence &&
+         mEvidencePace.IsCongested();
+}
+
 Instant
 RelayGroup::GiveUpAt(const Journey& aJourney) const
 {
@@ -74,7 +82,8 @@
   const auto primary = mView.Primary();
   // Behind a primary that may be dead a statement waits for the next one.
   const bool isOverloaded =
-    aJourney.mWaitsFor == RelayVerdict::WaitForConnection &&
+    (aJourney.mWaitsFor == RelayVerdict::WaitForConnection ||
+     IsWithoutSlots(aJourney)) &&
     !(primary && IsDoubtful(*primary));
   const auto wait =
     isOverloaded ? std::min(request.mRoute.mTarget, request.mRoute.mTimeout)
@@ -90,6 +99,9 @@
                                                        : ErrorKind::NoUpstream,
              "this instance is cut off from the group's majority" };
   }
+  if (IsWithoutSlots(aJourney)) {
+    return { ErrorKind::QueueFull, "databases have no slot for evidence" };
+  }
   switch (aJourney.mWaitsFor) {
     case RelayVerdict::WaitForEvidence:
       return { ErrorKind::TooStale, "no proof of the data's age came in time" };
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -152,7 +152,7 @@
   const bool wantsAll = waited >= mSettings.mReplicationWait / 2 ||
                         static_cast<size_t>(following) < needed;
   auto wanted = wantsAll ? size : needed;
-  mNextEvidence = aNow + std::max(mSettings.mEvidenceInterval, waited / 2);
+  mNextEvidence = aNow + std::max(mEvidencePace.Interval(), waited / 2);
   if (wantsFrontier && !mMembers.at(primary->mName).IsAsked()) {
     AskStatus(primary->mName, mCounts.mEvidenceRequests);
   }
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -212,7 +212,7 @@
     }
     it.mTerm = source.mTerm;
     it.mReceived = source.mReceived;
-    it.mApplied = it.mReceived;
+    it.mApplied = it.mIsApplying ? it.mReceived : it.mApplied;
   }
 }
 
@@ -321,6 +321,9 @@
       break;
     case CommandForm::Status:
       answer = StatusAnswer(aDatabase);
+      if (aDatabase.mIsWithoutSlots) {
+        answer.mError = Error{ ErrorKind::QueueFull, "" };
+      }
       break;
     case CommandForm::Fence:
       aDatabase.mFencedTerm = aCommand.mTerm;
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -30,6 +30,10 @@
     int mRefusals = 0;
     /// Whether replicas receive from it, or it from the primary.
     bool mIsReplicating = true;
+    /// Whether it applies what it receives.
+    bool mIsApplying = true;
+    /// Refuses status requests, as a database with a full queue does.
+    bool mIsWithoutSlots = false;
     unsigned mConnections = 0;
     /// Refuses connections beyond this.
     unsigned mMaxConnections = 100;
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(InstanceCutFromPrimaryOnlyRefusesAtOnce);
   CPPUNIT_TEST(AgedReadGoesToReplicaOfSameDomain);
   CPPUNIT_TEST(AgedReadAtLaggingReplicasGoesToPrimary);
+  CPPUNIT_TEST(AgedReadsAtPrimaryShareEvidenceOfTheirAge);
+  CPPUNIT_TEST(EvidenceRefusedForLackOfSlotsIsAskedForRarely);
+  CPPUNIT_TEST(ReadWithoutEvidenceForLackOfSlotsIsServedOnceThereAreSome);
   CPPUNIT_TEST(OwnReadAfterWriteIncludesIt);
   CPPUNIT_TEST(ReadWhoseAnswerIsLostIsSentElsewhere);
   CPPUNIT_TEST(ReadsThatAreNeverAnsweredAreRepeatedRarely);
@@ -232,6 +235,75 @@
     CPPUNIT_ASSERT_EQUAL(size_t(2), mFake->At("a").mRan.size());
   }
 
+  size_t StatusRequestsAt(const std::string& aName) const
+  {
+    return static_cast<size_t>(
+      std::ranges::count(mFake->At(aName).mArrived,
+                         CommandForm::Status,
+                         &UpstreamCommand::mForm));
+  }
+
+  /// The load of a day on which replicas apply late: all reads meet at the
+  /// primary, and evidence for each would take the slots of the replicas.
+  void AgedReadsAtPrimaryShareEvidenceOfTheirAge()
+  {
+    mFake->SetRoute(Aged(Freshness::BoundedAge));
+    for (const auto* it : { "b", "c" }) {
+      mFake->At(it).mIsApplying = false;
+    }
+    mFake->At("a").mReceived = mFake->At("a").mApplied = { 1, 50 };
+    mFake->Run(1600ms);
+    auto caller = mFake->Connect();
+    const auto before = StatusRequestsAt("b") + StatusRequestsAt("c");
+    constexpr int kReads = 100;
+    for (int n = 0; n < kReads; ++n) {
+      caller->Say("READ 1");
+      mFake->Run(10ms);
+      CPPUNIT_ASSERT(caller->IsAnswered());
+      CPPUNIT_ASSERT(!caller->LastError());
+    }
+    const auto asked = StatusRequestsAt("b") + StatusRequestsAt("c") - before;
+    CPPUNIT_ASSERT(asked < kReads / 10);
+  }
+
+  /// The load after a stall: many instances want evidence of databases that
+  /// refuse for lack of slots, and refusing takes their time too.
+  void EvidenceRefusedForLackOfSlotsIsAskedForRarely()
+  {
+    for (const auto* it : { "b", "c" }) {
+      mFake->At(it).mIsWithoutSlots = true;
+    }
+    auto caller = mFake->Connect();
+    const auto before = StatusRequestsAt("b") + StatusRequestsAt("c");
+    for (int n = 0; n < 5; ++n) {
+      caller->Say("READ 1");
+      mFake->Run(400ms);
+      CPPUNIT_ASSERT(caller->IsAnswered());
+      CPPUNIT_ASSERT(caller->LastError() == ErrorKind::QueueFull);
+    }
+    const auto asked = StatusRequestsAt("b") + StatusRequestsAt("c") - before;
+    // One each 64 ms at least in the two seconds, at two replicas, and the
+    // faster ones at the start.
+    CPPUNIT_ASSERT(asked <= 2 * (2000 / 64 + 8));
+  }
+
+  void ReadWithoutEvidenceForLackOfSlotsIsServedOnceThereAreSome()
+  {
+    for (const auto* it : { "b", "c" }) {
+      mFake->At(it).mIsWithoutSlots = true;
+    }
+    auto caller = mFake->Connect();
+    caller->Say("READ 1");
+    mFake->Run(60ms);
+    CPPUNIT_ASSERT(!caller->IsAnswered());
+    for (const auto* it : { "b", "c" }) {
+      mFake->At(it).mIsWithoutSlots = false;
+    }
+    mFake->Run(140ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
   void OwnReadAfterWriteIncludesIt()
   {
     mFake->SetRoute(Aged(Freshness::OwnWrites));
