ConnectionBudget: Keep one connection for each instance where there are enough

A connection takes a slot of its database for 12 ms, a statement 3 to 15 ms. Whenever all but the reserve of 104 connections was taken, every instance closed what idled for 40 ms, the only one too, and opened it again for its next statement: two thirds of the slots went to handshakes, so that statements waited, so that more connections were wanted. Change: instances announce themselves in the store (FleetController, FleetView: one write in 20 s, a list that may be stale, which costs a tenth), and a plan knows how many share a database. Where each can have one it keeps one; what is spare is divided among a quarter of them. Where the number is not known the plan is as before.

--- a/Libraries/LibDecision/ConnectionBudget.cpp
+++ b/Libraries/LibDecision/ConnectionBudget.cpp
@@ -13,21 +13,23 @@
 }
 
 ConnectionPlan
-PlanConnections(unsigned aLimit, unsigned aTotal, unsigned aOwn)
+PlanConnections(const ConnectionLoad& aUse)
 {
   // One in eight connections stays free for instances that start.
-  const auto reserve = std::max(aLimit / 8, 1U);
-  const auto usable = aLimit > reserve ? aLimit - reserve : 1U;
-  const auto spare = usable > aTotal ? usable - aTotal : 0U;
+  const auto reserve = std::max(aUse.mLimit / 8, 1U);
+  const auto usable = aUse.mLimit > reserve ? aUse.mLimit - reserve : 1U;
+  const auto spare = usable > aUse.mTotal ? usable - aUse.mTotal : 0U;
+  const bool hasOneEach = aUse.mInstances > 0 && aUse.mInstances <= usable;
+  // Instances that want more at the same moment share what is spare.
+  const auto sharers = std::max(aUse.mInstances / 4, 4U);
+  const auto largest = std::max(aUse.mLimit / 3, 1U);
   ConnectionPlan plan;
   plan.mAllowance =
-    std::clamp(aOwn + (spare + 3) / 4, 1U, std::max(aLimit / 3, 1U));
-  // Down to the reserve: every idle one keeps another instance waiting. The
-  // span still covers the pause between two statements of one caller. Not
-  // before, since opening a connection takes a slot of the database for a
-  // while.
-  if (aTotal >= usable) {
-    plan.mMinimum = 0;
+    std::clamp(aUse.mOwn + (spare + sharers - 1) / sharers, 1U, largest);
+  // The span still covers the pause between two statements of one caller. Not
+  // before all are taken, since opening a connection has its price too.
+  if (spare == 0) {
+    plan.mMinimum = hasOneEach ? 1 : 0;
     plan.mIdleTimeout = std::chrono::milliseconds(40);
   }
   return plan;
--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -33,13 +33,29 @@
   bool operator==(const ConnectionPlan&) const = default;
 };
 
-/// Plans for an instance that holds aOwn connections to a database that reports
-/// aTotal of aLimit in use. Without a list of instances the database's own
-/// count is what keeps the sum within the limit: an instance takes a quarter of
-/// what is spare, and always one. The reserve is left to instances that start.
-/// Where all but the reserve are taken, as when there are more instances than
-/// connections, none is kept without need. Pure; any thread.
+/// The connections to one database as an instance knows of them.
+struct ConnectionLoad
+{
+  /// How many the database takes.
+  unsigned mLimit = 1;
+  /// How many it says that it has, from all instances.
+  unsigned mTotal = 0;
+  unsigned mOwn = 0;
+  /// How many instances there are; 0 when that is not known.
+  unsigned mInstances = 0;
+
+  bool operator==(const ConnectionLoad&) const = default;
+};
+
+/// Plans for one instance. The database's own count keeps the sum within the
+/// limit: an instance takes a part of what is spare, and always one. A reserve
+/// is left to instances that start. Where there is a connection for each
+/// instance, each keeps one whatever the load: opening one takes a slot of the
+/// database for longer than most statements, so that closing them when they are
+/// short makes them shorter still. Where there are more instances than
+/// connections, or the number of instances is not known, none is kept once all
+/// but the reserve are taken. Pure; any thread.
 ConnectionPlan
-PlanConnections(unsigned aLimit, unsigned aTotal, unsigned aOwn);
+PlanConnections(const ConnectionLoad& aUse);
 
 }
--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -44,6 +44,8 @@
 
   /// All objects of a kind.
   virtual void List(const QString& aKind, BatchHandler aHandler) = 0;
+  /// The same as it was up to some seconds ago, at a tenth of the price.
+  virtual void ListStale(const QString& aKind, BatchHandler aHandler) = 0;
   /// Errors: NotFound.
   virtual void Get(const QString& aKind,
                    const QString& aName,
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -59,6 +59,8 @@
   UpstreamLink::Clock mNow;
   UpstreamProtocolFactory mProtocol = nullptr;
   std::string mFailureDomain;
+  /// How many instances there are; 0 when that is not known.
+  std::function<unsigned()> mCountInstances;
   /// The promotion duty; see TakeoverMachine.
   std::function<std::optional<DutyGrant>()> mGrant;
   std::function<void(const std::string& aGroup)> mAcquireDuty;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -176,8 +176,8 @@
 {
   const auto now = mEnvironment.mNow();
   mEvidencePace.OnRefused();
-  mNextEvidence = std::max(
-    mNextEvidence, now + SpreadDelay(mEvidencePace.Interval(), now));
+  mNextEvidence =
+    std::max(mNextEvidence, now + SpreadDelay(mEvidencePace.Interval(), now));
   mEvidenceMissingSince.reset();
 }
 
@@ -230,9 +230,10 @@
 RelayGroup::PlanConnectionsOf(const ReplicationStatus& aStatus)
 {
   auto& pool = *mMembers.at(aStatus.mUpstream).mPool;
-  pool.SetPlan(PlanConnections(mConfiguration.mMaxConnections,
-                               aStatus.mConnections,
-                               static_cast<unsigned>(pool.Size())));
+  pool.SetPlan(PlanConnections({ mConfiguration.mMaxConnections,
+                                 aStatus.mConnections,
+                                 static_cast<unsigned>(pool.Size()),
+                                 mEnvironment.mCountInstances() }));
 }
 
 void
--- a/Libraries/LibRelay/RelayGroupEnding.cpp
+++ b/Libraries/LibRelay/RelayGroupEnding.cpp
@@ -60,7 +60,8 @@
         { "queued", std::to_string(mJourneys.size()) } });
 }
 
-/// Whether the evidence that a statement waits for is refused for lack of slots.
+/// Whether the evidence that a statement waits for is refused for lack of
+/// slots.
 bool
 RelayGroup::IsWithoutSlots(const Journey& aJourney) const
 {
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -74,11 +74,13 @@
                            const RelayPlatform& aPlatform)
   : mSettings(std::move(aSettings))
   , mPlatform(aPlatform)
+  , mIncarnation(NewIncarnation())
   , mDuty(aPlatform.mStore,
           aPlatform.mPromotion,
           mSettings.mInstance,
-          NewIncarnation(),
+          mIncarnation,
           Now)
+  , mFleet(aPlatform.mStore, mSettings.mInstance, mIncarnation, Now)
   , mRouter(MakeEnvironment())
   , mDirectory(mRouter, aPlatform.mStore, aPlatform.mReader)
   , mCallers(mRouter, aPlatform.mCallerProtocol)
@@ -97,6 +99,7 @@
   environment.mProtocol = mPlatform.mUpstreamProtocol;
   environment.mFailureDomain = mSettings.mFailureDomain;
   environment.mLog = Log;
+  environment.mCountInstances = [this] { return mFleet.Count(); };
   environment.mGrant = [this] { return mDuty.Grant(); };
   environment.mAcquireDuty = [this](const std::string& aGroup) {
     mDuty.Acquire(aGroup);
@@ -137,6 +140,7 @@
   }
   PL_TRY(mCallers.Listen(mSettings.mCallerAddress));
   mDirectory.Start();
+  mFleet.Start();
   mTick.start(kTick);
   mSummary.start(kSummaryInterval);
   Log("start",
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -3,6 +3,7 @@
 #include "CallerConnection.h"
 #include "DirectoryController.h"
 #include "DutyController.h"
+#include "FleetController.h"
 #include "LibConfiguration/RelaySettings.h"
 
 #include <QHttpServer>
@@ -45,7 +46,9 @@
 
   RelaySettings mSettings;
   RelayPlatform mPlatform;
+  std::string mIncarnation;
   DutyController mDuty;
+  FleetController mFleet;
   RelayRouter mRouter;
   DirectoryController mDirectory;
   CallerPort mCallers;
--- a/Tests/LibDecision/TestConnectionBudget.cpp
+++ b/Tests/LibDecision/TestConnectionBudget.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(NineInstancesStayWithinTheLimit);
   CPPUNIT_TEST(InstanceAloneMayHoldAThird);
   CPPUNIT_TEST(ScarceConnectionsAreNotKept);
+  CPPUNIT_TEST(OneForEachInstanceIsKeptUnderLoad);
   CPPUNIT_TEST(AlwaysOneIsAllowed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -24,7 +25,7 @@
     for (int round = 0; round < 50; ++round) {
       for (auto& it : held) {
         const auto total = std::accumulate(held.begin(), held.end(), 0U);
-        it = std::max(it, PlanConnections(kLimit, total, it).mAllowance);
+        it = std::max(it, PlanConnections({ kLimit, total, it, 9 }).mAllowance);
       }
     }
     const auto total = std::accumulate(held.begin(), held.end(), 0U);
@@ -34,21 +35,37 @@
 
   void InstanceAloneMayHoldAThird()
   {
-    CPPUNIT_ASSERT_EQUAL(7U, PlanConnections(22, 3, 3).mAllowance);
+    CPPUNIT_ASSERT_EQUAL(7U, PlanConnections({ 22, 3, 3, 1 }).mAllowance);
   }
 
   /// 61 instances before databases of 46 connections.
   void ScarceConnectionsAreNotKept()
   {
-    const auto plan = PlanConnections(46, 41, 1);
-    CPPUNIT_ASSERT_EQUAL(0U, plan.mMinimum);
-    CPPUNIT_ASSERT(plan.mIdleTimeout < PlanConnections(46, 10, 1).mIdleTimeout);
+    for (const unsigned instances : { 0U, 61U }) {
+      const auto plan = PlanConnections({ 46, 41, 1, instances });
+      CPPUNIT_ASSERT_EQUAL(0U, plan.mMinimum);
+      CPPUNIT_ASSERT(plan.mIdleTimeout <
+                     PlanConnections({ 46, 10, 1, instances }).mIdleTimeout);
+    }
+  }
+
+  /// 71 instances before databases of 104 connections, after a stall made
+  /// all of them open more: whoever closes its only one opens it again at once,
+  /// and opening takes four times the slot time of a statement.
+  void OneForEachInstanceIsKeptUnderLoad()
+  {
+    const auto plan = PlanConnections({ 104, 104, 1, 71 });
+    CPPUNIT_ASSERT_EQUAL(1U, plan.mMinimum);
+    CPPUNIT_ASSERT_EQUAL(1U, plan.mAllowance);
+    // A second one goes as soon as it is idle.
+    CPPUNIT_ASSERT(plan.mIdleTimeout <
+                   PlanConnections({ 104, 71, 1, 71 }).mIdleTimeout);
   }
 
   void AlwaysOneIsAllowed()
   {
-    CPPUNIT_ASSERT_EQUAL(1U, PlanConnections(46, 46, 0).mAllowance);
-    CPPUNIT_ASSERT_EQUAL(1U, PlanConnections(1, 5, 0).mAllowance);
+    CPPUNIT_ASSERT_EQUAL(1U, PlanConnections({ 46, 46, 0, 61 }).mAllowance);
+    CPPUNIT_ASSERT_EQUAL(1U, PlanConnections({ 1, 5, 0, 1 }).mAllowance);
   }
 };
 
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -102,6 +102,7 @@
   environment.mNow = [this] { return mNow; };
   environment.mProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d1";
+  environment.mCountInstances = [this] { return mInstances; };
   environment.mGrant = [this] {
     return mGrant && mNow < mGrant->mValidUntil ? mGrant : std::nullopt;
   };
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -65,6 +65,8 @@
 
   /// What the configuration says of each database, from the next SetRoute.
   unsigned mMaxConnections = 22;
+  /// How many instances the group believes in.
+  unsigned mInstances = 0;
   /// The promotion duty: granted at once while this holds.
   bool mIsDutyFree = true;
   std::vector<std::string> mOrders;
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -161,6 +161,9 @@
   environment.mProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d";
   environment.mLog = [](const auto&, const auto&) {};
+  environment.mCountInstances = [this] {
+    return static_cast<unsigned>(mInstances.size());
+  };
   environment.mGrant = [this, aInstance] {
     return mInstances[aInstance].mDuty->Grant(mNow);
   };
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -237,10 +237,8 @@
 
   size_t StatusRequestsAt(const std::string& aName) const
   {
-    return static_cast<size_t>(
-      std::ranges::count(mFake->At(aName).mArrived,
-                         CommandForm::Status,
-                         &UpstreamCommand::mForm));
+    return static_cast<size_t>(std::ranges::count(
+      mFake->At(aName).mArrived, CommandForm::Status, &UpstreamCommand::mForm));
   }
 
   /// The load of a day on which replicas apply late: all reads meet at the
