Tests: Soak real processes under random faults; choose ports that stay free

Cause: nothing played faults against the relaying processes in series and overlapping. Change: Tests/Soak runs instances as processes before the stand-ins; every connection goes through a FaultLink. Faults: processes terminated, killed, frozen, reloaded; links cut, silenced, held, delayed, also one way; databases killed and isolated; the store silent or losing answers; configurations. It checks while it runs that acknowledged writes are at the present primary and that reads show what they must, and at its end that each is there once, that none was promised not to have run and did, and that every caller is served again. Every fourth seed is planned work only: no request may be cut off. The stand-in databases gained a log, isolation and a return. FreePort gave ports from the range of outgoing connections, so that one could be taken before the process listened on it. There is one FreePort now, below that range, in place of three.

--- a/Services/Papayalined/Relay/FleetController.cpp
+++ b/Services/Papayalined/Relay/FleetController.cpp
@@ -54,12 +54,12 @@
       return;
     }
     std::vector<FleetEntry> entries;
-    std::ranges::transform(aBatch.Value().mObjects,
-                           std::back_inserter(entries),
-                           [](const StoredObject& it) {
-                             return FleetEntry{ it.mName.toStdString(),
-                                                it.mRevision };
-                           });
+    std::ranges::transform(
+      aBatch.Value().mObjects,
+      std::back_inserter(entries),
+      [](const StoredObject& it) {
+        return FleetEntry{ it.mName.toStdString(), it.mRevision };
+      });
     const auto now = mClock();
     const auto before = mView.Count(now);
     mView.Observe(entries, now);
@@ -94,15 +94,13 @@
 FleetController::Write()
 {
   const QJsonObject content{ { "incarnation", mIncarnation },
-                             { "sequence",
-                               static_cast<qint64>(++mSequence) } };
-  mStore.Put(kKind,
-             mInstance,
-             *mRevision,
-             content,
-             [this](const Result<StoredObject>& aObject) {
-               OnWritten(aObject);
-             });
+                             { "sequence", static_cast<qint64>(++mSequence) } };
+  mStore.Put(
+    kKind,
+    mInstance,
+    *mRevision,
+    content,
+    [this](const Result<StoredObject>& aObject) { OnWritten(aObject); });
 }
 
 void
@@ -117,7 +115,8 @@
   } else {
     mRevision = aObject.Value().mRevision;
   }
-  const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(delay);
+  const auto wait =
+    std::chrono::duration_cast<std::chrono::milliseconds>(delay);
   QTimer::singleShot(wait, this, [this] {
     List();
     Announce();
--- a/Tests/LibCluster/ChildProcess.cpp
+++ b/Tests/LibCluster/ChildProcess.cpp
@@ -12,7 +12,8 @@
 
 ChildProcess::ChildProcess(const QString& aBinary,
                            const QStringList& aArguments,
-                           const QString& aLogFile)
+                           const QString& aLogFile,
+                           const QString& aOutputFile)
   : mProcess(std::make_unique<QProcess>())
 {
   if (aLogFile.isEmpty()) {
@@ -20,6 +21,9 @@
   } else {
     mProcess->setStandardErrorFile(aLogFile, QIODevice::Append);
   }
+  if (!aOutputFile.isEmpty()) {
+    mProcess->setStandardOutputFile(aOutputFile, QIODevice::Append);
+  }
   mProcess->start(QString(PAPAYALINE_BINARY_DIR) + "/" + aBinary, aArguments);
   mProcess->waitForStarted(kStartTimeoutMs);
 }
--- a/Tests/LibCluster/ChildProcess.h
+++ b/Tests/LibCluster/ChildProcess.h
@@ -10,10 +10,13 @@
 class ChildProcess
 {
 public:
-  /// Starts a binary of the build by its path below the build folder.
+  /// Starts a binary of the build by its path below the build folder. Standard
+  /// error and output are appended to the files, if given; without aOutputFile
+  /// the output can be waited for.
   ChildProcess(const QString& aBinary,
                const QStringList& aArguments,
-               const QString& aLogFile = {});
+               const QString& aLogFile = {},
+               const QString& aOutputFile = {});
   ~ChildProcess();
 
   /// Waits for "listening on PORT" on standard output.
--- a/Tests/LibCluster/Cluster.cpp
+++ b/Tests/LibCluster/Cluster.cpp
@@ -1,12 +1,13 @@
 #include "Cluster.h"
 
+#include "FreePort.h"
+
 #include <QElapsedTimer>
 #include <QFile>
 #include <QJsonArray>
 #include <QTcpServer>
 #include <QThread>
 #include <algorithm>
-#include <set>
 #include <sstream>
 
 namespace papayaline {
@@ -15,19 +16,6 @@
 
 constexpr int kPollMs = 20;
 
-quint16
-FreePort()
-{
-  static std::set<quint16> sTaken;
-  quint16 port = 0;
-  do {
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost);
-    port = server.serverPort();
-  } while (!sTaken.insert(port).second);
-  return port;
-}
-
 QString
 Url(quint16 aPort, const QString& aPath)
 {
--- a/Tests/LibDecision/TestFleetView.cpp
+++ b/Tests/LibDecision/TestFleetView.cpp
@@ -58,8 +58,7 @@
       entries.push_back({ std::to_string(n), 1 });
     }
     view.Observe(entries, kStart);
-    const std::chrono::duration<double> interval =
-      view.RefreshInterval(kStart);
+    const std::chrono::duration<double> interval = view.RefreshInterval(kStart);
     CPPUNIT_ASSERT(4600 / interval.count() <= 50.5);
   }
 };
--- /dev/null
+++ b/Tests/Soak/SoakDeployment.cpp
@@ -0,0 +1,162 @@
+#include "SoakDeployment.h"
+
+#include "FreePort.h"
+
+#include <QFile>
+#include <QHostAddress>
+#include <QJsonArray>
+
+namespace papayaline {
+
+namespace {
+
+QJsonObject
+Route(const QString& aDatabase, const QString& aKind)
+{
+  return { { "database", aDatabase },
+           { "routeKind", aKind },
+           { "timeoutMs", 1000 },
+           { "targetLatencyMs", 200 },
+           { "maxStalenessMs", SoakDeployment::kMaxAgeMs },
+           { "priority", 1 },
+           { "backend", "group-1" } };
+}
+
+QByteArray
+Local(quint16 aPort)
+{
+  return "\"127.0.0.1:" + QByteArray::number(aPort) + "\"\n";
+}
+
+}
+
+SoakDeployment::SoakDeployment(int aInstances, QString aLogs)
+  : mLogs(std::move(aLogs))
+{
+  mStore.mOnPromote = [this](const QString& aName) {
+    const bool isPromoted = mDatabases.Promote(aName.toStdString());
+    List();
+    return isPromoted;
+  };
+  for (const auto& it : mDatabases.All()) {
+    AddLink(it->mName, it->mPort);
+  }
+  Configure();
+  List();
+  for (int n = 0; n < aInstances; ++n) {
+    mPorts.push_back({ FreePort(), FreePort(), FreePort() });
+    AddLink("callers-" + std::to_string(n), mPorts.back().mCallers);
+    AddLink("store-" + std::to_string(n), mStore.Port());
+    mInstances.push_back(nullptr);
+    Start(n);
+  }
+}
+
+quint16
+SoakDeployment::AddLink(const std::string& aName, quint16 aPort)
+{
+  auto& link = mLinks[aName];
+  link = std::make_unique<FaultLink>("127.0.0.1", aPort);
+  link->listen(QHostAddress::LocalHost);
+  return link->serverPort();
+}
+
+quint16
+SoakDeployment::CallerPort(int aInstance) const
+{
+  return mLinks.at("callers-" + std::to_string(aInstance))->serverPort();
+}
+
+std::vector<std::string>
+SoakDeployment::LinkNames() const
+{
+  std::vector<std::string> names;
+  std::ranges::transform(
+    mLinks, std::back_inserter(names), [](const auto& it) { return it.first; });
+  return names;
+}
+
+QString
+SoakDeployment::WriteSettings(int aInstance)
+{
+  const auto& ports = mPorts[aInstance];
+  const auto store =
+    mLinks.at("store-" + std::to_string(aInstance))->serverPort();
+  QFile file(mDirectory.filePath(QString::number(aInstance) + ".yaml"));
+  if (!file.open(QIODevice::WriteOnly)) {
+    qFatal("can't write the settings of an instance");
+  }
+  file.write("instance: entry-" + QByteArray::number(aInstance) +
+             "\nfailure_domain: z\ncaller_address: " + Local(ports.mCallers) +
+             "relay:\n  readiness_address: " + Local(ports.mReady) +
+             "  readiness_path: /ready\n" + "  metrics_address: " +
+             Local(ports.mMetrics) + "  store: " + Local(store) +
+             "  promotion: " + Local(store) + "  grace: 6s\n");
+  return file.fileName();
+}
+
+void
+SoakDeployment::Start(int aInstance)
+{
+  const auto log = mLogs + "/entry-" + QString::number(aInstance);
+  mInstances[aInstance].reset();
+  mInstances[aInstance] = std::make_unique<ChildProcess>(
+    "Services/Papayalined/papayalined",
+    QStringList{ "--settings=" + WriteSettings(aInstance) },
+    mLogs.isEmpty() ? QString() : log + ".err",
+    mLogs.isEmpty() ? QProcess::nullDevice() : log + ".log");
+}
+
+bool
+SoakDeployment::IsReady(int aInstance) const
+{
+  constexpr int kWaitMs = 200;
+  QTcpSocket socket;
+  socket.connectToHost(QHostAddress::LocalHost, mPorts[aInstance].mReady);
+  if (!socket.waitForConnected(kWaitMs)) {
+    return false;
+  }
+  socket.write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  return socket.waitForReadyRead(kWaitMs) &&
+         socket.readAll().split(' ').value(1) == "200";
+}
+
+void
+SoakDeployment::Configure()
+{
+  ++mVersion;
+  const QJsonArray routes{
+    Route(kLatest, "primary"),
+    Route(kOwnWrites, "read_your_writes"),
+    Route("extra-" + QString::number(mVersion), "primary"),
+  };
+  mStore.Put("config",
+             "main",
+             { { "configVersion", mVersion },
+               { "routes", routes },
+               { "backends",
+                 QJsonArray{
+                   QJsonObject{ { "name", "group-1" }, { "maxConns", 40 } } } },
+               { "limits", QJsonObject{ { "txIdleMs", 3000 } } } });
+}
+
+void
+SoakDeployment::List()
+{
+  for (const auto& it : mDatabases.All()) {
+    const auto address =
+      "127.0.0.1:" + QString::number(mLinks.at(it->mName)->serverPort());
+    mStore.Put("servers",
+               QString::fromStdString(it->mName),
+               { { "backend", "group-1" },
+                 { "address", address },
+                 { "zone", "z" },
+                 { "slots", 3 },
+                 { "state", "ready" },
+                 { "coldLeftMs", 0 },
+                 { "dbRole", it->mIsPrimary ? "primary" : "replica" },
+                 { "born", 1 } });
+  }
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/main.cpp
@@ -0,0 +1,195 @@
+#include "FaultSchedule.h"
+#include "SoakCaller.h"
+
+#include <QCoreApplication>
+#include <cstdio>
+#include <docopt.h>
+#include <fstream>
+#include <sstream>
+
+namespace {
+
+using namespace papayaline;
+
+constexpr const char kUsage[] =
+  R"(Runs instances as processes under random faults and checks the promises from
+what callers and databases see.
+
+Every fourth seed plays planned work only: then no request may be cut off.
+
+Usage:
+  soak [options]
+
+Options:
+  --seeds=FROM-TO    Seeds to play [default: 1-3].
+  --seed-file=FILE   Seeds that are played first, one a line.
+  --seconds=N        Time under faults for each seed [default: 15].
+  --instances=N      Instances [default: 3].
+  --callers=N        Callers [default: 12].
+  --logs=DIR         Keeps the logs of the processes there.
+)";
+
+constexpr int kStartMs = 20'000;
+/// After the last fault every caller is served again within this time; far
+/// above the platform's bound for recovery, so that a busy machine meets it.
+constexpr int kRecoveryMs = 40'000;
+
+struct Options
+{
+  int mSeconds = 15;
+  int mInstances = 3;
+  int mCallers = 12;
+  QString mLogs;
+};
+
+template<typename Condition>
+bool
+Await(int aLimitMs, Condition aCondition)
+{
+  QElapsedTimer timer;
+  timer.start();
+  while (!aCondition()) {
+    if (timer.elapsed() > aLimitMs) {
+      return false;
+    }
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+  }
+  return true;
+}
+
+/// Every acknowledged write is there once, and none that was promised not to
+/// have run.
+void
+CheckLog(const std::vector<std::string>& aLog, SoakHistory& aHistory)
+{
+  std::map<std::string, int> counts;
+  for (const auto& it : aLog) {
+    ++counts[it];
+  }
+  for (const auto& [value, outcome] : aHistory.mWrites) {
+    const auto found = counts.find(value);
+    const auto n = found != counts.end() ? found->second : 0;
+    const auto add = [&](const char* aWhat) {
+      aHistory.mViolations.push_back("write " + value + " " + aWhat);
+    };
+    if (n > 1) {
+      add("took effect twice");
+    }
+    if (outcome == WriteOutcome::Acknowledged && n == 0) {
+      add("was acknowledged and is lost");
+    }
+    if (outcome == WriteOutcome::NotRun && n > 0) {
+      add("was promised not to have run and did");
+    }
+  }
+}
+
+bool
+Play(uint64_t aSeed, const Options& aOptions)
+{
+  constexpr uint64_t kPlannedEvery = 4;
+  const auto mix =
+    aSeed % kPlannedEvery == 0 ? FaultMix::Planned : FaultMix::Everything;
+  SoakDeployment deployment(aOptions.mInstances, aOptions.mLogs);
+  SoakHistory history;
+  const bool isStarted = Await(kStartMs, [&] {
+    return deployment.IsReady(0) && deployment.IsReady(aOptions.mInstances - 1);
+  });
+  if (!isStarted) {
+    history.mViolations.push_back("the instances did not start");
+  }
+  std::vector<std::unique_ptr<SoakCaller>> callers;
+  for (int n = 0; n < aOptions.mCallers; ++n) {
+    callers.push_back(std::make_unique<SoakCaller>(
+      deployment, history, n, aSeed * 1000 + static_cast<uint64_t>(n)));
+    callers.back()->ForbidCuts(mix == FaultMix::Planned);
+  }
+  FaultSchedule faults(deployment, aSeed, mix);
+  faults.Start();
+  Await(aOptions.mSeconds * 1000, [] { return false; });
+  faults.Heal();
+  const auto healedAt = callers.front()->NowMs();
+  const bool isRecovered = Await(kRecoveryMs, [&] {
+    return std::ranges::all_of(
+      callers, [&](const auto& it) { return it->HasWrittenSince(healedAt); });
+  });
+  if (!isRecovered) {
+    history.mViolations.push_back("a caller is not served after the faults");
+  }
+  CheckLog(deployment.Databases().Primary().mLog, history);
+  const auto count = [&](WriteOutcome aOutcome) {
+    return std::ranges::count(
+      history.mWrites, aOutcome, [](const auto& it) { return it.second; });
+  };
+  std::printf(
+    "seed %llu: %zu faults, %zu writes (%td acknowledged, %td not "
+    "run), %zu reads, term %llu: %s\n",
+    static_cast<unsigned long long>(aSeed),
+    faults.Injected().size(),
+    history.mWrites.size(),
+    count(WriteOutcome::Acknowledged),
+    count(WriteOutcome::NotRun),
+    history.mReads,
+    static_cast<unsigned long long>(deployment.Databases().Primary().mTerm),
+    history.mViolations.empty() ? "kept" : "BROKEN");
+  if (!history.mViolations.empty()) {
+    for (const auto& it : history.mViolations) {
+      std::printf("  %s\n", it.c_str());
+    }
+    for (const auto& it : faults.Injected()) {
+      std::printf("  fault: %s\n", it.c_str());
+    }
+  }
+  std::fflush(stdout);
+  return history.mViolations.empty();
+}
+
+std::vector<uint64_t>
+ReadSeeds(const std::string& aFile)
+{
+  std::vector<uint64_t> seeds;
+  std::ifstream stream(aFile);
+  std::string line;
+  while (std::getline(stream, line)) {
+    std::istringstream fields(line);
+    uint64_t seed = 0;
+    if (fields >> seed) {
+      seeds.push_back(seed);
+    }
+  }
+  return seeds;
+}
+
+}
+
+int
+main(int argc, char* argv[])
+{
+  QCoreApplication application(argc, argv);
+  auto arguments = docopt::docopt(kUsage, { argv + 1, argv + argc });
+  Options options;
+  options.mSeconds = static_cast<int>(arguments["--seconds"].asLong());
+  options.mInstances = static_cast<int>(arguments["--instances"].asLong());
+  options.mCallers = static_cast<int>(arguments["--callers"].asLong());
+  if (arguments["--logs"]) {
+    options.mLogs = QString::fromStdString(arguments["--logs"].asString());
+  }
+  std::vector<uint64_t> seeds;
+  if (arguments["--seed-file"]) {
+    seeds = ReadSeeds(arguments["--seed-file"].asString());
+  }
+  const auto range = arguments["--seeds"].asString();
+  const auto dash = range.find('-');
+  const auto from = std::stoull(range.substr(0, dash));
+  const auto to =
+    dash == std::string::npos ? from : std::stoull(range.substr(dash + 1));
+  for (auto seed = from; seed <= to; ++seed) {
+    seeds.push_back(seed);
+  }
+  int failures = 0;
+  for (const auto seed : seeds) {
+    failures += Play(seed, options) ? 0 : 1;
+  }
+  std::printf("%zu passed, %d failed\n", seeds.size() - failures, failures);
+  return failures == 0 ? 0 : 1;
+}
--- a/Tests/StandIns/Line/LineDatabases.cpp
+++ b/Tests/StandIns/Line/LineDatabases.cpp
@@ -24,6 +24,7 @@
     database->mIsPrimary = mDatabases.empty();
     database->mServer = std::make_unique<QTcpServer>();
     database->mServer->listen(QHostAddress::LocalHost);
+    database->mPort = database->mServer->serverPort();
     connect(database->mServer.get(),
             &QTcpServer::newConnection,
             this,
@@ -75,17 +76,68 @@
   if (!database.mIsAlive) {
     return false;
   }
-  const auto term = Primary().mTerm + 1;
+  if (database.mIsPrimary && &database == &Primary()) {
+    return true;
+  }
+  uint64_t term = 0;
+  for (const auto& it : mDatabases) {
+    term = std::max(term, it->mTerm + 1);
+  }
+  database.mIsPrimary = true;
+  database.mTerm = term;
+  database.mFencedTerm = 0;
   for (auto& it : mDatabases) {
-    it->mFencedTerm = 0;
-    if (it->mIsAlive) {
-      it->mTerm = term;
-      it->mIsPrimary = it.get() == &database;
+    if (it.get() != &database && it->mIsAlive && !it->mIsIsolated) {
+      it->mFencedTerm = 0;
+      CatchUp(*it);
     }
   }
   return true;
 }
 
+void
+LineDatabases::Revive(const std::string& aName)
+{
+  auto& database = At(aName);
+  database.mIsAlive = true;
+  database.mFencedTerm = 0;
+  database.mServer->listen(QHostAddress::LocalHost, database.mPort);
+  CatchUp(database);
+}
+
+void
+LineDatabases::SetIsolated(const std::string& aName, bool aIsIsolated)
+{
+  auto& database = At(aName);
+  database.mIsIsolated = aIsIsolated;
+  if (!aIsIsolated && database.mIsAlive && database.mFencedTerm == 0) {
+    CatchUp(database);
+  }
+}
+
+bool
+LineDatabases::IsReceiving(const Database& aDatabase)
+{
+  const auto& primary = Primary();
+  return &aDatabase != &primary && aDatabase.mIsAlive &&
+         !aDatabase.mIsIsolated && aDatabase.mFencedTerm == 0 &&
+         primary.mIsPrimary && primary.mIsAlive && !primary.mIsIsolated;
+}
+
+void
+LineDatabases::CatchUp(Database& aDatabase)
+{
+  if (!IsReceiving(aDatabase)) {
+    return;
+  }
+  const auto& primary = Primary();
+  aDatabase.mIsPrimary = false;
+  aDatabase.mTerm = primary.mTerm;
+  aDatabase.mOffset = primary.mOffset;
+  aDatabase.mRows = primary.mRows;
+  aDatabase.mLog = primary.mLog;
+}
+
 void
 LineDatabases::Accept(Database& aDatabase)
 {
@@ -147,8 +199,10 @@
       aDatabase.mFencedTerm = words[1].toULongLong();
     } else if (word == "RESUME") {
       aDatabase.mFencedTerm = 0;
+      CatchUp(aDatabase);
     } else if (word == "STEPDOWN") {
       aDatabase.mIsPrimary = false;
+      CatchUp(aDatabase);
     }
     return QByteArray("ROW ") +
            (aDatabase.mIsPrimary ? "primary " : "replica ") +
@@ -178,6 +232,11 @@
     return signedDone;
   }
   if (word == "COMMIT") {
+    if (!aConnection.mStaged.empty() && !aDatabase.mIsPrimary) {
+      aConnection.mStaged.clear();
+      aConnection.mIsInTransaction = false;
+      return "ERROR READONLY -\r\n";
+    }
     for (const auto& [item, value] : aConnection.mStaged) {
       Commit(aDatabase, item, value);
     }
@@ -200,12 +259,21 @@
   ++aDatabase.mWrites;
   ++aDatabase.mOffset;
   aDatabase.mRows[aItem] = aValue;
+  aDatabase.mLog.push_back(aValue);
+  if (&aDatabase != &Primary()) {
+    return;
+  }
   for (auto& it : mDatabases) {
-    if (it->mIsAlive && it->mTerm == aDatabase.mTerm && it->mFencedTerm == 0 &&
-        it.get() != &aDatabase) {
-      it->mOffset = aDatabase.mOffset;
-      it->mRows = aDatabase.mRows;
+    if (!IsReceiving(*it)) {
+      continue;
+    }
+    if (it->mTerm != aDatabase.mTerm || it->mOffset + 1 != aDatabase.mOffset) {
+      CatchUp(*it);
+      continue;
     }
+    it->mOffset = aDatabase.mOffset;
+    it->mRows[aItem] = aValue;
+    it->mLog.push_back(aValue);
   }
 }
 
--- a/Tests/StandIns/Line/LineStore.cpp
+++ b/Tests/StandIns/Line/LineStore.cpp
@@ -76,6 +76,9 @@
 void
 LineStore::Send(QTcpSocket* aSocket, const Reply& aReply)
 {
+  if (mIsLosingAnswers) {
+    return;
+  }
   const auto body = QJsonDocument(aReply.mBody).toJson(QJsonDocument::Compact);
   aSocket->write("HTTP/1.1 " + QByteArray::number(aReply.mStatus) +
                  " X\r\nContent-Type: application/json\r\nContent-Length: " +
--- a/Tests/StandIns/Line/LineStore.h
+++ b/Tests/StandIns/Line/LineStore.h
@@ -26,6 +26,9 @@
   /// While set, connections are accepted and nothing is answered.
   void SetSilent(bool aIsSilent) { mIsSilent = aIsSilent; }
 
+  /// While set, calls take effect and their answers are lost.
+  void SetLosingAnswers(bool aIsLosing) { mIsLosingAnswers = aIsLosing; }
+
   /// Answers whether a promotion is accepted.
   std::function<bool(const QString&)> mOnPromote;
   std::vector<quint64> mTokens;
@@ -65,10 +68,11 @@
               bool aIsDeleted);
   void AnswerWatches();
   bool AnswerWatch(const Watch& aWatch, bool aIsLast);
-  static void Send(QTcpSocket* aSocket, const Reply& aReply);
+  void Send(QTcpSocket* aSocket, const Reply& aReply);
 
   QTcpServer mServer;
   bool mIsSilent = false;
+  bool mIsLosingAnswers = false;
   qint64 mRevision = 1;
   std::map<std::pair<QString, QString>, QJsonObject> mObjects;
   std::vector<Change> mChanges;
