--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -52,6 +52,16 @@
   unsigned mMaxAttempts = 12;
 };
 
+/// What latencies are counted by.
+enum class RelayLatency
+{
+  LatestRead,
+  OwnRead,
+  AgedRead,
+  Write,
+  Refusal,
+};
+
 /// What a group needs of its surroundings.
 struct RelayEnvironment
 {
@@ -66,6 +76,8 @@
   std::function<void(const std::string& aGroup)> mAcquireDuty;
   std::function<void(const std::string& aGroup, const std::string& aUpstream)>
     mOrderPromotion;
+  /// Takes the time from a statement's arrival to its answer, if there is one.
+  std::function<void(RelayLatency, Duration)> mObserveLatency;
   /// Takes one line of the decision log.
   std::function<void(const std::string& aEvent,
                      const std::vector<std::pair<std::string, std::string>>&)>
--- a/Libraries/LibRelay/RelayGroupEnding.cpp
+++ b/Libraries/LibRelay/RelayGroupEnding.cpp
@@ -5,6 +5,31 @@
 
 namespace papayaline {
 
+namespace {
+
+RelayLatency
+LatencyOf(const RelayRequest& aRequest,
+          const StatementAnswer& aAnswer,
+          bool aIsCommit)
+{
+  if (aAnswer.mError) {
+    return RelayLatency::Refusal;
+  }
+  if (aIsCommit || aRequest.mAccess == Access::Write) {
+    return RelayLatency::Write;
+  }
+  switch (aRequest.mRoute.mFreshness) {
+    case Freshness::OwnWrites:
+      return RelayLatency::OwnRead;
+    case Freshness::BoundedAge:
+      return RelayLatency::AgedRead;
+    default:
+      return RelayLatency::LatestRead;
+  }
+}
+
+}
+
 void
 RelayGroup::Finish(const JourneyPointer& aJourney,
                    const StatementAnswer& aAnswer,
@@ -15,6 +40,12 @@
   }
   aJourney->mIsFinished = true;
   std::erase(mJourneys, aJourney);
+  if (mEnvironment.mObserveLatency) {
+    const auto& request = aJourney->mRequest;
+    mEnvironment.mObserveLatency(
+      LatencyOf(request, aAnswer, aJourney->IsCommit()),
+      mEnvironment.mNow() - request.mAskedAt);
+  }
   const auto handler = std::exchange(aJourney->mHandler, nullptr);
   handler({ aAnswer, aHold });
 }
--- a/Services/Papayalined/Metrics.cpp
+++ b/Services/Papayalined/Metrics.cpp
@@ -75,6 +75,13 @@
     text += QByteArray(kNames[it]) + " " +
             QByteArray::number(qint64(mCounters[it].load())) + "\n";
   }
+  return text + LatenciesToText();
+}
+
+QByteArray
+Metrics::LatenciesToText() const
+{
+  QByteArray text;
   std::lock_guard lock(mMutex);
   for (const auto& [name, histogram] : mLatencies) {
     const auto label = "papayaline_latency_seconds_bucket{class=\"" +
--- a/Services/Papayalined/Metrics.h
+++ b/Services/Papayalined/Metrics.h
@@ -45,6 +45,8 @@
 
   /// The Prometheus text format.
   QByteArray ToText() const;
+  /// The same, of the latency histograms only.
+  QByteArray LatenciesToText() const;
 
 private:
   using Axis =
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -1,6 +1,7 @@
 #include "RelayService.h"
 
 #include "../Clock.h"
+#include "../Metrics.h"
 #include "SocketChannel.h"
 
 #include <QCoreApplication>
@@ -45,6 +46,12 @@
   NamedCount{ "preparations", &RelayCounts::mPreparations },
 };
 
+constexpr std::array kLatencyNames = { "latest_read",
+                                       "own_read",
+                                       "aged_read",
+                                       "write",
+                                       "refusal" };
+
 int sSignalPipe[2] = { -1, -1 };
 
 void
@@ -99,6 +106,11 @@
   environment.mProtocol = mPlatform.mUpstreamProtocol;
   environment.mFailureDomain = mSettings.mFailureDomain;
   environment.mLog = Log;
+  environment.mObserveLatency = [](RelayLatency aKind, Duration aTime) {
+    Metrics::Instance().ObserveLatency(
+      kLatencyNames[static_cast<size_t>(aKind)],
+      std::chrono::duration<double>(aTime).count());
+  };
   environment.mCountInstances = [this] { return mFleet.Count(); };
   environment.mGrant = [this] { return mDuty.Grant(); };
   environment.mAcquireDuty = [this](const std::string& aGroup) {
@@ -192,11 +204,11 @@
                               : Response::StatusCode::ServiceUnavailable);
   });
   mMetrics.route("/metrics",
-                 [this] { return Response("text/plain", Metrics()); });
+                 [this] { return Response("text/plain", MetricsText()); });
 }
 
 QByteArray
-RelayService::Metrics() const
+RelayService::MetricsText() const
 {
   QByteArray text;
   const auto add =
@@ -215,7 +227,8 @@
     }
     add("term", label, aGroup.View().HighestTerm());
   });
-  return text;
+  add("instances", {}, mFleet.Count());
+  return text + Metrics::Instance().LatenciesToText();
 }
 
 void
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -38,7 +38,7 @@
   Result<Done> WatchSignals();
   void AddRoutes();
   bool IsReady() const;
-  QByteArray Metrics() const;
+  QByteArray MetricsText() const;
   void LogSummary();
   void Tick();
   void Drain();
--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -1,4 +1,5 @@
 #include "ChildProcess.h"
+#include "FreePort.h"
 #include "Line/LineDatabases.h"
 #include "Line/LineStore.h"
 
@@ -23,6 +24,7 @@
   CPPUNIT_TEST(StoreSilentInstanceStaysReadyAndServes);
   CPPUNIT_TEST(StoreBackChangeOfTheOutageIsInForce);
   CPPUNIT_TEST(PrimaryKilledIsReplaced);
+  CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -34,6 +36,7 @@
   std::unique_ptr<ChildProcess> mInstance;
   quint16 mCallerPort = 0;
   quint16 mReadyPort = 0;
+  quint16 mMetricsPort = 0;
   int mVersion = 0;
 
   template<typename Condition>
@@ -50,13 +53,6 @@
     return true;
   }
 
-  static quint16 FreePort()
-  {
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost);
-    return server.serverPort();
-  }
-
   /// A session; answers are read up to their last line.
   class Session
   {
@@ -141,12 +137,12 @@
     };
     QFile file(mDirectory.filePath("settings.yaml"));
     file.open(QIODevice::WriteOnly);
-    file.write(
-      "instance: entry-1\nfailure_domain: z\ncaller_address: " +
-      local(mCallerPort) + "relay:\n  readiness_address: " + local(mReadyPort) +
-      "  readiness_path: /ready\n" + "  metrics_address: " + local(FreePort()) +
-      "  store: " + local(mStore->Port()) +
-      "  promotion: " + local(mStore->Port()) + "  grace: 6s\n");
+    file.write("instance: entry-1\nfailure_domain: z\ncaller_address: " +
+               local(mCallerPort) + "relay:\n  readiness_address: " +
+               local(mReadyPort) + "  readiness_path: /ready\n" +
+               "  metrics_address: " + local(mMetricsPort) +
+               "  store: " + local(mStore->Port()) +
+               "  promotion: " + local(mStore->Port()) + "  grace: 6s\n");
     return file.fileName();
   }
 
@@ -178,6 +174,7 @@
     List();
     mCallerPort = FreePort();
     mReadyPort = FreePort();
+    mMetricsPort = FreePort();
     mInstance = std::make_unique<ChildProcess>(
       "Services/Papayalined/papayalined",
       QStringList{ "--settings=" + WriteSettings() });
@@ -278,6 +275,24 @@
       "entry-1");
   }
 
+  void MetricsHoldCountsAndLatencies()
+  {
+    Session session(mCallerPort, "bookings");
+    CPPUNIT_ASSERT(session.Say("WRITE 1 x").contains("COMPLETE signed"));
+    CPPUNIT_ASSERT(session.Say("READ 1").contains("COMPLETE signed"));
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress::LocalHost, mMetricsPort);
+    socket.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    QByteArray text;
+    CPPUNIT_ASSERT(Await([&] {
+      text += socket.readAll();
+      return text.contains("class=\"write\",le=\"+Inf\"} 1\n");
+    }));
+    CPPUNIT_ASSERT(
+      text.contains("papayaline_writes_total{group=\"group-1\"} 1"));
+    CPPUNIT_ASSERT(text.contains("class=\"latest_read\",le=\"+Inf\"} 1\n"));
+  }
+
   void TerminatedFinishesTheTransactionAndExits()
   {
     Session session(mCallerPort, "bookings");
