RelayGroup: Open one connection at a time where they are scarce

A read without a connection opened one to each database of its group, and each replica was probed every 1.5 s over a connection opened for it: 21 openings a second for each instance, each of them 12 ms of a slot. Change: a connection is opened where the read would run; others follow after 60 ms. A member without a connection at rest is probed each 6 s; evidence and traffic ask it in between. Evidence is asked of another replica when a connection is as slow to open. Tests: ReadsWhereConnectionsAreScarceOpenThemAtOneReplica (failed before), ReadWhoseConnectionIsSlowToOpenIsServedElsewhere (failed when evidence still waited for the silent replica).

--- a/Libraries/LibDecision/RelayRouting.cpp
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -85,7 +85,7 @@
   const auto needed =
     isPrimaryOnly ? std::nullopt : PositionForRead(aNeed, aView, aSettings);
   Best best;
-  bool isAnyFull = false;
+  Best bestFull;
   for (size_t it = 0; it < aCandidates.size(); ++it) {
     const auto& candidate = aCandidates[it];
     const bool isPrimary = primary && primary->mName == candidate.mName;
@@ -94,13 +94,10 @@
     if (!fits || candidate.mIsExcluded) {
       continue;
     }
-    if (!candidate.mIsAvailable) {
-      isAnyFull = true;
-      continue;
-    }
     const auto preference =
       isPrimary && !isPrimaryOnly ? aSettings.mReplicaPreference : Duration{};
-    best.Offer(it, ExpectedTime(candidate, aSettings) + preference);
+    (candidate.mIsAvailable ? best : bestFull)
+      .Offer(it, ExpectedTime(candidate, aSettings) + preference);
   }
   RelayChoice choice;
   if (!isPrimaryOnly && !needed && primary) {
@@ -113,8 +110,9 @@
     } else {
       choice.mAfter = needed;
     }
-  } else if (isAnyFull) {
+  } else if (bestFull.mIndex) {
     choice.mVerdict = RelayVerdict::WaitForConnection;
+    choice.mIndex = *bestFull.mIndex;
   }
   return choice;
 }
--- a/Libraries/LibDecision/RelayRouting.h
+++ b/Libraries/LibDecision/RelayRouting.h
@@ -45,6 +45,8 @@
 struct RelayChoice
 {
   RelayVerdict mVerdict = RelayVerdict::WaitForPrimary;
+  /// The database to run at; with WaitForConnection the one that would be
+  /// chosen if it had a connection.
   size_t mIndex = 0;
   /// What the database must have applied.
   std::optional<LogPosition> mAfter;
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -67,6 +67,15 @@
   }
 }
 
+bool
+LinkPool::IsOpeningSince(Instant aSince) const
+{
+  return std::ranges::any_of(mEntries, [&](const auto& it) {
+    return it.mLink->GetState() == UpstreamLink::State::Opening &&
+           it.mLink->WaitingSince() >= aSince;
+  });
+}
+
 LinkPointer
 LinkPool::Acquire(const SessionState& aSession)
 {
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -39,6 +39,10 @@
   /// Opens a link when none is free and the limit allows it; aOnChange reports
   /// that it is ready.
   void Demand();
+  /// Whether a link is being opened that was begun at or after aSince.
+  bool IsOpeningSince(Instant aSince) const;
+  /// Whether a link is kept open without need.
+  bool KeepsOne() const { return mPlan.mMinimum > 0; }
   /// The free link that fits aSession best, or nothing after a Demand.
   LinkPointer Acquire(const SessionState& aSession);
   /// Opens another link although some are free: one that went silent can't
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -41,6 +41,13 @@
   Duration mPrimaryProbe = std::chrono::milliseconds(900);
   Duration mMemberProbe = std::chrono::milliseconds(1500);
   Duration mUnknownProbe = std::chrono::milliseconds(150);
+  /// The same for members to which no connection is kept, since each request
+  /// would open one. Below the time after which an instance that starts counts
+  /// as recovered.
+  Duration mScarceProbe = std::chrono::seconds(6);
+  /// A connection that takes longer to open is not waited for alone: several
+  /// times the platform's time for it.
+  Duration mUsualOpening = std::chrono::milliseconds(60);
   /// An unanswered control command; the connection counts as dead.
   Duration mControlTimeout = std::chrono::milliseconds(500);
   /// Before a read is also sent to another database: this many times what it
@@ -185,7 +192,7 @@
   void Dispatch();
   bool TryStart(const JourneyPointer& aJourney);
   bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
-  void DemandConnections(const RelayNeed& aNeed);
+  void DemandConnection(const std::string& aBest, const RelayNeed& aNeed);
   bool IsDoubtful(const PrimaryOfGroup& aPrimary) const;
   /// Whether this instance can't serve what another probably can.
   bool IsCutOff() const;
@@ -236,6 +243,7 @@
   bool IsConfirmed(const Confirmation& aConfirmation, Instant aNow) const;
   void AskEvidence(Instant aNow);
   bool WantsEvidence() const;
+  bool IsAskedPromptly(const Member& aMember, Instant aNow) const;
   /// How long the oldest commit has waited for evidence.
   Duration ConfirmingFor(Instant aNow) const;
   bool IsFollowing(const std::string& aName,
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -42,9 +42,11 @@
     const auto contact = mView.LastContact(name);
     const bool isPrimary = primary && primary->mName == name;
     const bool isUnknown = !mView.StatusOf(name) || !primary;
+    const bool isCheap = it.mPool->KeepsOne() || it.mPool->HasFree();
     const auto interval = isUnknown   ? mSettings.mUnknownProbe
                           : isPrimary ? mSettings.mPrimaryProbe
-                                      : mSettings.mMemberProbe;
+                          : isCheap   ? mSettings.mMemberProbe
+                                      : mSettings.mScarceProbe;
     const auto* status = mView.StatusOf(name);
     const auto last = isPrimary
                         ? contact
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -93,7 +93,7 @@
     AskEvidence(mEnvironment.mNow());
   }
   if (choice.mVerdict == RelayVerdict::WaitForConnection) {
-    DemandConnections(need);
+    DemandConnection(candidates[choice.mIndex].mName, need);
   }
   if (choice.mVerdict != RelayVerdict::Run) {
     return false;
@@ -112,16 +112,20 @@
   return true;
 }
 
-/// Opens connections where a statement could run.
+/// Opens a connection where a statement would run best. Opening one takes a
+/// slot of the database, so others follow only while that one is slow to come.
 void
-RelayGroup::DemandConnections(const RelayNeed& aNeed)
+RelayGroup::DemandConnection(const std::string& aBest, const RelayNeed& aNeed)
 {
-  const auto primary = mView.Primary();
+  auto& best = *mMembers.at(aBest).mPool;
+  best.Demand();
   const bool isPrimaryOnly = aNeed.mNeedsPrimary || !aNeed.mMaxAge;
+  if (isPrimaryOnly ||
+      best.IsOpeningSince(mEnvironment.mNow() - mSettings.mUsualOpening)) {
+    return;
+  }
   for (const auto& [name, it] : mMembers) {
-    if (!isPrimaryOnly || (primary && primary->mName == name)) {
-      it.mPool->Demand();
-    }
+    it.mPool->Demand();
   }
 }
 
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -157,17 +157,23 @@
     AskStatus(primary->mName, mCounts.mEvidenceRequests);
   }
   for (const auto& it : order) {
-    const auto& calls = mMembers.at(it).mCalls;
     if (wanted == 0) {
       return;
     }
-    if (calls.empty()) {
+    if (mMembers.at(it).mCalls.empty()) {
       AskStatus(it, mCounts.mEvidenceRequests);
-      --wanted;
-    } else if (aNow - calls.front().mAskedAt < mSettings.mEvidenceTimeout) {
-      --wanted;
     }
+    wanted -= IsAskedPromptly(mMembers.at(it), aNow) ? 1 : 0;
   }
 }
 
+/// Whether a status request is under way, or its connection, that is not late.
+bool
+RelayGroup::IsAskedPromptly(const Member& aMember, Instant aNow) const
+{
+  return aMember.IsAsked()
+           ? aNow - aMember.mCalls.front().mAskedAt < mSettings.mEvidenceTimeout
+           : aMember.mPool->IsOpeningSince(aNow - mSettings.mUsualOpening);
+}
+
 }
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -32,10 +32,14 @@
     , mEvents(std::make_shared<ChannelEvents>(std::move(aEvents)))
   {
     const auto it = mFake.mDatabases.find(mName);
-    if (it == mFake.mDatabases.end() || !it->second.mIsReachable) {
+    if (it == mFake.mDatabases.end()) {
       return;
     }
     auto& database = it->second;
+    ++database.mOpenings;
+    if (!database.mIsReachable) {
+      return;
+    }
     StatementAnswer answer;
     answer.mPosition = database.mApplied;
     if (++database.mConnections > database.mMaxConnections) {
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -35,6 +35,8 @@
     /// Refuses status requests, as a database with a full queue does.
     bool mIsWithoutSlots = false;
     unsigned mConnections = 0;
+    /// Connections that were begun.
+    size_t mOpenings = 0;
     /// Refuses connections beyond this.
     unsigned mMaxConnections = 100;
     /// The statements of callers that ran, in order.
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(AgedReadsAtPrimaryShareEvidenceOfTheirAge);
   CPPUNIT_TEST(EvidenceRefusedForLackOfSlotsIsAskedForRarely);
   CPPUNIT_TEST(ReadWithoutEvidenceForLackOfSlotsIsServedOnceThereAreSome);
+  CPPUNIT_TEST(ReadsWhereConnectionsAreScarceOpenThemAtOneReplica);
+  CPPUNIT_TEST(ReadWhoseConnectionIsSlowToOpenIsServedElsewhere);
   CPPUNIT_TEST(OwnReadAfterWriteIncludesIt);
   CPPUNIT_TEST(ReadWhoseAnswerIsLostIsSentElsewhere);
   CPPUNIT_TEST(ReadsThatAreNeverAnsweredAreRepeatedRarely);
@@ -302,6 +304,46 @@
     CPPUNIT_ASSERT(!caller->LastError());
   }
 
+  /// All connections but the reserve are taken by other instances, so that none
+  /// is kept at rest.
+  void TakeConnectionsByOthers()
+  {
+    mFake->mMaxConnections = 46;
+    mFake->mInstances = 61;
+    mFake->SetRoute(Aged(Freshness::BoundedAge));
+    for (const auto* it : { "a", "b", "c" }) {
+      mFake->At(it).mConnections += 45;
+    }
+    mFake->Run(3000ms);
+  }
+
+  /// The load of a fleet with more instances than a database has connections:
+  /// opening one takes a slot for longer than most statements.
+  void ReadsWhereConnectionsAreScarceOpenThemAtOneReplica()
+  {
+    TakeConnectionsByOthers();
+    auto caller = mFake->Connect();
+    const auto before = mFake->At("c").mOpenings;
+    for (int n = 0; n < 10; ++n) {
+      caller->Say("READ 1");
+      mFake->Run(200ms);
+      CPPUNIT_ASSERT(caller->IsAnswered());
+      CPPUNIT_ASSERT(!caller->LastError());
+    }
+    CPPUNIT_ASSERT(mFake->At("c").mOpenings <= before + 1);
+  }
+
+  void ReadWhoseConnectionIsSlowToOpenIsServedElsewhere()
+  {
+    TakeConnectionsByOthers();
+    mFake->At("b").mIsReachable = false;
+    auto caller = mFake->Connect();
+    caller->Say("READ 1");
+    mFake->Run(300ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
   void OwnReadAfterWriteIncludesIt()
   {
     mFake->SetRoute(Aged(Freshness::OwnWrites));
