ConnectionBudget: Pass the only connection on no faster than all can be opened

Change: once the reserve is used an instance closes its only connection after the time that the database takes to open one for each instance (52 ms for 13 instances before 3 slots, 426 ms for 71 before 2). Extra connections are allowed only while what is spare does for a quarter of the instances. Tests: OnlyConnectionIsPassedOnWhenTheReserveIsUsed.

--- a/Libraries/LibDecision/ConnectionBudget.cpp
+++ b/Libraries/LibDecision/ConnectionBudget.cpp
@@ -4,6 +4,25 @@
 
 namespace papayaline {
 
+namespace {
+
+/// Covers the pause between two statements of one caller.
+constexpr auto kScarceIdleTimeout = std::chrono::milliseconds(40);
+/// How long the databases of the deployments take to open a connection.
+constexpr auto kOpeningTime = std::chrono::milliseconds(12);
+
+/// How long an instance's only connection may idle while others have none: as
+/// long as the database takes to open one for each instance. Passed on faster,
+/// they would cost it more time than the statements that run on them.
+std::chrono::milliseconds
+TurnOfAll(const ConnectionLoad& aLoad)
+{
+  return std::max(kScarceIdleTimeout,
+                  kOpeningTime * aLoad.mInstances / std::max(aLoad.mSlots, 1U));
+}
+
+}
+
 ConnectionShare
 DivideConnections(unsigned aLimit, unsigned aReserve, unsigned aInstances)
 {
@@ -13,25 +32,26 @@
 }
 
 ConnectionPlan
-PlanConnections(const ConnectionLoad& aUse)
+PlanConnections(const ConnectionLoad& aLoad)
 {
   // One in eight connections stays free for instances that start.
-  const auto reserve = std::max(aUse.mLimit / 8, 1U);
-  const auto usable = aUse.mLimit > reserve ? aUse.mLimit - reserve : 1U;
-  const auto spare = usable > aUse.mTotal ? usable - aUse.mTotal : 0U;
-  const bool hasOneEach = aUse.mInstances > 0 && aUse.mInstances <= usable;
-  // Instances that want more at the same moment share what is spare.
-  const auto sharers = std::max(aUse.mInstances / 4, 4U);
-  const auto largest = std::max(aUse.mLimit / 3, 1U);
+  const auto reserve = std::max(aLoad.mLimit / 8, 1U);
+  const auto usable = aLoad.mLimit > reserve ? aLoad.mLimit - reserve : 1U;
+  const auto spare = usable > aLoad.mTotal ? usable - aLoad.mTotal : 0U;
+  const bool hasOneEach = aLoad.mInstances > 0 && aLoad.mInstances <= usable;
+  // Many want more at the same moment: what is spare must do for a quarter of
+  // the instances, or they would use up the reserve together.
+  const auto sharers = std::max(aLoad.mInstances / 4, 4U);
+  const auto largest = std::max(aLoad.mLimit / 3, 1U);
   ConnectionPlan plan;
-  plan.mAllowance =
-    std::clamp(aUse.mOwn + (spare + sharers - 1) / sharers, 1U, largest);
-  // The span still covers the pause between two statements of one caller. Not
-  // before all are taken, since opening a connection has its price too.
-  if (spare == 0) {
-    plan.mMinimum = hasOneEach ? 1 : 0;
-    plan.mIdleTimeout = std::chrono::milliseconds(40);
+  plan.mAllowance = std::clamp(aLoad.mOwn + spare / sharers, 1U, largest);
+  if (spare > 0) {
+    return plan;
   }
+  // Not before all are taken, since opening a connection has its price too.
+  const bool isReserveUsed = aLoad.mTotal > usable;
+  plan.mMinimum = hasOneEach && !isReserveUsed ? 1 : 0;
+  plan.mIdleTimeout = aLoad.mOwn <= 1 ? TurnOfAll(aLoad) : kScarceIdleTimeout;
   return plan;
 }
 
--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -43,6 +43,8 @@
   unsigned mOwn = 0;
   /// How many instances there are; 0 when that is not known.
   unsigned mInstances = 0;
+  /// How many statements, or openings, it works on at a time.
+  unsigned mSlots = 1;
 
   bool operator==(const ConnectionLoad&) const = default;
 };
@@ -50,12 +52,14 @@
 /// Plans for one instance. The database's own count keeps the sum within the
 /// limit: an instance takes a part of what is spare, and always one. A reserve
 /// is left to instances that start. Where there is a connection for each
-/// instance, each keeps one whatever the load: opening one takes a slot of the
-/// database for longer than most statements, so that closing them when they are
-/// short makes them shorter still. Where there are more instances than
-/// connections, or the number of instances is not known, none is kept once all
-/// but the reserve are taken. Pure; any thread.
+/// instance, each keeps one: opening one takes a slot of the database for
+/// longer than most statements, so that closing them when they are short makes
+/// them shorter still. When the reserve is used too, as after a restart of all,
+/// whose predecessors the database has not yet given up, the only one is passed
+/// on, but no faster than the database can open one for each. Where there are
+/// more instances than connections, or the number of instances is not known,
+/// none is kept once all but the reserve are taken. Pure; any thread.
 ConnectionPlan
-PlanConnections(const ConnectionLoad& aUse);
+PlanConnections(const ConnectionLoad& aLoad);
 
 }
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -232,10 +232,12 @@
 RelayGroup::PlanConnectionsOf(const ReplicationStatus& aStatus)
 {
   auto& pool = *mMembers.at(aStatus.mUpstream).mPool;
+  const auto slots = mView.FindMember(aStatus.mUpstream)->mSlots;
   pool.SetPlan(PlanConnections({ mConfiguration.mMaxConnections,
                                  aStatus.mConnections,
                                  static_cast<unsigned>(pool.Size()),
-                                 mEnvironment.mCountInstances() }));
+                                 mEnvironment.mCountInstances(),
+                                 slots }));
 }
 
 void
--- a/Tests/LibDecision/TestConnectionBudget.cpp
+++ b/Tests/LibDecision/TestConnectionBudget.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(InstanceAloneMayHoldAThird);
   CPPUNIT_TEST(ScarceConnectionsAreNotKept);
   CPPUNIT_TEST(OneForEachInstanceIsKeptUnderLoad);
+  CPPUNIT_TEST(OnlyConnectionIsPassedOnWhenTheReserveIsUsed);
   CPPUNIT_TEST(AlwaysOneIsAllowed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -54,12 +55,26 @@
   /// and opening takes four times the slot time of a statement.
   void OneForEachInstanceIsKeptUnderLoad()
   {
-    const auto plan = PlanConnections({ 104, 104, 1, 71 });
+    const auto plan = PlanConnections({ 104, 91, 1, 71, 2 });
     CPPUNIT_ASSERT_EQUAL(1U, plan.mMinimum);
     CPPUNIT_ASSERT_EQUAL(1U, plan.mAllowance);
     // A second one goes as soon as it is idle.
-    CPPUNIT_ASSERT(plan.mIdleTimeout <
-                   PlanConnections({ 104, 71, 1, 71 }).mIdleTimeout);
+    const auto second = PlanConnections({ 104, 91, 2, 71, 2 });
+    CPPUNIT_ASSERT(second.mIdleTimeout <
+                   PlanConnections({ 104, 71, 2, 71, 2 }).mIdleTimeout);
+  }
+
+  /// Instances come back before databases that still hold the connections of
+  /// their predecessors: whoever has one passes it on, but 71 instances no
+  /// faster than two slots can open 71 connections of 12 ms.
+  void OnlyConnectionIsPassedOnWhenTheReserveIsUsed()
+  {
+    const auto few = PlanConnections({ 22, 22, 1, 13, 3 });
+    CPPUNIT_ASSERT_EQUAL(0U, few.mMinimum);
+    const auto many = PlanConnections({ 104, 104, 1, 71, 2 });
+    CPPUNIT_ASSERT_EQUAL(0U, many.mMinimum);
+    CPPUNIT_ASSERT(many.mIdleTimeout >= std::chrono::milliseconds(71 * 12 / 2));
+    CPPUNIT_ASSERT(few.mIdleTimeout < many.mIdleTimeout / 4);
   }
 
   void AlwaysOneIsAllowed()
