GroupView: Say in one place what follows a primary

Change: GroupView::IsFollowing serves evidence, confirmation and the order in which replicas are asked; DirectoryController publishes on changes and while an entry is pending; LinkPool has one test for a free connection.

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -190,7 +190,16 @@
   return std::max(mMembers.size(), std::min(mLargestSize, kUsualSize));
 }
 
-/// Replicas that were in a term when they were asked.
+bool
+GroupView::IsFollowing(const std::string& aName,
+                       const PrimaryOfGroup& aPrimary) const
+{
+  // A primary that stepped down calls itself a replica of its own term.
+  const auto* status = StatusOf(aName);
+  return aName != aPrimary.mName && status && status->mRole == Role::Replica &&
+         status->mTerm == aPrimary.mTerm;
+}
+
 size_t
 GroupView::CountFollowers(const PrimaryOfGroup& aPrimary,
                           Instant aSince,
@@ -199,10 +208,7 @@
   return static_cast<size_t>(
     std::ranges::count_if(mKnowledge, [&](const auto& it) {
       const auto& status = it.second.mStatus;
-      // A primary that stepped down calls itself a replica of its own term.
-      return it.first != aPrimary.mName && status &&
-             status->mRole == Role::Replica &&
-             status->mTerm == aPrimary.mTerm && status->mAskedAt >= aSince &&
+      return IsFollowing(it.first, aPrimary) && status->mAskedAt >= aSince &&
              status->mReceived >= aPosition;
     }));
 }
@@ -233,8 +239,7 @@
          std::ranges::all_of(mMembers, [&](const auto& it) {
            const auto* status = StatusOf(it.mName);
            return it.mName == aPrimary.mName ||
-                  (status && status->mRole == Role::Replica &&
-                   status->mTerm == aPrimary.mTerm &&
+                  (IsFollowing(it.mName, aPrimary) &&
                    status->mFencedTerm <= aPrimary.mTerm &&
                    status->mAskedAt >= aSince);
          });
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -107,6 +107,9 @@
   /// A refusal that shows that a database lives without telling its state.
   void ObserveContact(const std::string& aName, Instant aNow);
 
+  /// Whether a member was a replica in the term of aPrimary when last asked.
+  bool IsFollowing(const std::string& aName,
+                   const PrimaryOfGroup& aPrimary) const;
   /// Whether enough replicas, asked at or after aSince, were in the term of
   /// aPrimary: no other primary had acknowledged anything before aSince.
   bool IsUnreplaced(const PrimaryOfGroup& aPrimary, Instant aSince) const;
--- a/Libraries/LibRelay/DirectoryView.cpp
+++ b/Libraries/LibRelay/DirectoryView.cpp
@@ -29,6 +29,13 @@
   }
 }
 
+bool
+DirectoryView::HasVanished() const
+{
+  return std::ranges::any_of(
+    mEntries, [](const auto& it) { return it.second.mRemovedAt.has_value(); });
+}
+
 std::vector<DirectoryEntry>
 DirectoryView::Entries(Instant aNow)
 {
--- a/Libraries/LibRelay/DirectoryView.h
+++ b/Libraries/LibRelay/DirectoryView.h
@@ -23,6 +23,8 @@
   /// Removes all entries that are not in aNames.
   void Retain(const std::vector<std::string>& aNames, Instant aNow);
 
+  /// Whether entries that vanished are still in use.
+  bool HasVanished() const;
   /// The entries to use. Those removed longer ago than the delay are dropped.
   std::vector<DirectoryEntry> Entries(Instant aNow);
 
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -50,13 +50,16 @@
   return mEntries.size() < aLimit && mClock() >= mRetryAt;
 }
 
-size_t
-LinkPool::FreeCount() const
+bool
+LinkPool::IsFree(const Entry& aEntry)
 {
-  return static_cast<size_t>(
-    std::ranges::count_if(mEntries, [](const auto& it) {
-      return !it.mIsLeased && it.mLink->IsClean();
-    }));
+  return !aEntry.mIsLeased && aEntry.mLink->IsClean();
+}
+
+bool
+LinkPool::HasFree() const
+{
+  return std::ranges::any_of(mEntries, IsFree);
 }
 
 void
@@ -86,7 +89,7 @@
   Entry* best = nullptr;
   size_t bestDistance = 0;
   for (auto& it : mEntries) {
-    if (it.mIsLeased || !it.mLink->IsClean()) {
+    if (!IsFree(it)) {
       continue;
     }
     const auto distance = it.mLink->Contents().Distance(aSession);
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -35,7 +35,7 @@
   void SetPlan(const ConnectionPlan& aPlan) { mPlan = aPlan; }
 
   /// Whether a link is free now.
-  bool HasFree() const { return FreeCount() > 0; }
+  bool HasFree() const;
   /// Opens a link when none is free and the limit allows it; aOnChange reports
   /// that it is ready.
   void Demand();
@@ -75,7 +75,7 @@
   Entry* Find(const LinkPointer& aLink);
   bool MayOpen(unsigned aLimit) const;
   Duration RetryDelay(const Error& aError) const;
-  size_t FreeCount() const;
+  static bool IsFree(const Entry& aEntry);
   unsigned OpeningCount() const;
   void Remove(const LinkPointer& aLink);
 
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -246,8 +246,6 @@
   bool IsAskedPromptly(const Member& aMember, Instant aNow) const;
   /// How long the oldest commit has waited for evidence.
   Duration ConfirmingFor(Instant aNow) const;
-  bool IsFollowing(const std::string& aName,
-                   const PrimaryOfGroup& aPrimary) const;
   std::vector<std::string> EvidenceOrder(const PrimaryOfGroup& aPrimary) const;
   bool WantsFrontier(Instant aNow) const;
   bool IsReplaced(const PrimaryOfGroup& aPrimary) const;
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -108,7 +108,7 @@
       continue;
     }
     const auto& member = mMembers.at(it.mName);
-    ranked.push_back({ { !IsFollowing(it.mName, aPrimary),
+    ranked.push_back({ { !mView.IsFollowing(it.mName, aPrimary),
                          !member.mPool->HasFree(),
                          it.mFailureDomain != mEnvironment.mFailureDomain,
                          member.mServiceTime },
@@ -122,15 +122,6 @@
   return names;
 }
 
-bool
-RelayGroup::IsFollowing(const std::string& aName,
-                        const PrimaryOfGroup& aPrimary) const
-{
-  const auto* status = mView.StatusOf(aName);
-  return status && status->mRole == Role::Replica &&
-         status->mTerm == aPrimary.mTerm;
-}
-
 void
 RelayGroup::AskEvidence(Instant aNow)
 {
@@ -146,7 +137,7 @@
   const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
   const auto order = EvidenceOrder(*primary);
   const auto following = std::ranges::count_if(
-    order, [&](const auto& it) { return IsFollowing(it, *primary); });
+    order, [&](const auto& it) { return mView.IsFollowing(it, *primary); });
   // Replicas that are slow to receive are asked less and less often, and then
   // all of them; so are those that may not know of the term yet.
   const bool wantsAll = waited >= mSettings.mReplicationWait / 2 ||
--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -47,7 +47,9 @@
 void
 DirectoryController::Tick()
 {
-  Publish();
+  if (mView.HasVanished()) {
+    Publish();
+  }
 }
 
 std::optional<Address>
