--- a/Tests/StandIns/Line/LineStore.cpp
+++ b/Tests/StandIns/Line/LineStore.cpp
@@ -131,6 +131,7 @@
              { "storeRevision", mRevision } } });
     return;
   }
+  ++mWatchCalls[kind];
   const Watch watch{ aSocket,
                      kind,
                      query.queryItemValue("watch").toLongLong() };
