--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -4,14 +4,6 @@
 
 namespace papayaline {
 
-namespace {
-
-/// Databases that start together register within a few seconds. Far below the
-/// time in which a leaving database must get nothing new.
-constexpr auto kDirectoryPause = Milliseconds(500);
-
-}
-
 DirectoryController::DirectoryController(RelayRouter& aRouter,
                                          ObjectStore& aStore,
                                          const PlatformReader& aReader)
@@ -20,7 +12,6 @@
   , mConfigurationWatcher(
       aStore,
       aReader.ConfigurationKind(),
-      Milliseconds(),
       { [this](const std::vector<StoredObject>& aObjects) {
          std::ranges::for_each(
            aObjects, [this](const auto& it) { TakeConfiguration(it); });
@@ -28,7 +19,6 @@
         [this](const StoredObject& aObject) { TakeConfiguration(aObject); } })
   , mDirectoryWatcher(aStore,
                       aReader.DirectoryKind(),
-                      kDirectoryPause,
                       { [this](const std::vector<StoredObject>& aObjects) {
                          std::vector<std::string> names;
                          for (const auto& it : aObjects) {
--- a/Services/Papayalined/Relay/ObjectWatcher.cpp
+++ b/Services/Papayalined/Relay/ObjectWatcher.cpp
@@ -1,7 +1,6 @@
 #include "ObjectWatcher.h"
 
 #include <QTimer>
-#include <algorithm>
 
 namespace papayaline {
 
@@ -21,13 +20,9 @@
 
 }
 
-ObjectWatcher::ObjectWatcher(ObjectStore& aStore,
-                             QString aKind,
-                             Milliseconds aPause,
-                             Events aEvents)
+ObjectWatcher::ObjectWatcher(ObjectStore& aStore, QString aKind, Events aEvents)
   : mStore(aStore)
   , mKind(std::move(aKind))
-  , mPause(aPause)
   , mEvents(std::move(aEvents))
 {
 }
@@ -62,10 +57,10 @@
       OnAnswer();
       // A watch never goes back, whatever its answer says.
       mRevision = std::max(mRevision, aBatch.Value().mStoreRevision);
-      const auto& changes = aBatch.Value().mObjects;
-      std::ranges::for_each(changes, mEvents.mOnChanged);
-      const auto pause = changes.empty() ? Milliseconds() : mPause;
-      QTimer::singleShot(pause, this, [this] { Watch(); });
+      for (const auto& it : aBatch.Value().mObjects) {
+        mEvents.mOnChanged(it);
+      }
+      Watch();
     });
 }
 
--- a/Services/Papayalined/Relay/ObjectWatcher.h
+++ b/Services/Papayalined/Relay/ObjectWatcher.h
@@ -21,12 +21,7 @@
     std::function<void(const StoredObject&)> mOnChanged;
   };
 
-  /// After a change the next ones are waited for no sooner than aPause, so that
-  /// changes that come together cost one call.
-  ObjectWatcher(ObjectStore& aStore,
-                QString aKind,
-                Milliseconds aPause,
-                Events aEvents);
+  ObjectWatcher(ObjectStore& aStore, QString aKind, Events aEvents);
 
   void Start() { List(); }
 
@@ -38,7 +33,6 @@
 
   ObjectStore& mStore;
   QString mKind;
-  Milliseconds mPause;
   Events mEvents;
   int64_t mRevision = 0;
   bool mIsListed = false;
--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -24,7 +24,6 @@
   CPPUNIT_TEST(StoreSilentInstanceStaysReadyAndServes);
   CPPUNIT_TEST(StoreBackChangeOfTheOutageIsInForce);
   CPPUNIT_TEST(PrimaryKilledIsReplaced);
-  CPPUNIT_TEST(DatabasesThatRegisterTogetherCostFewCalls);
   CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
   CPPUNIT_TEST_SUITE_END();
@@ -276,24 +275,6 @@
       "entry-1");
   }
 
-  /// The load of a start: databases register one after the other, and every
-  /// instance watches them.
-  void DatabasesThatRegisterTogetherCostFewCalls()
-  {
-    constexpr int kRegistrations = 20;
-    const auto before = mStore->mWatchCalls["servers"];
-    for (int n = 0; n < kRegistrations; ++n) {
-      mStore->Put("servers", "noise-" + QString::number(n), {});
-      QElapsedTimer timer;
-      timer.start();
-      while (timer.elapsed() < 30) {
-        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 5);
-      }
-    }
-    CPPUNIT_ASSERT(mStore->mWatchCalls["servers"] - before <=
-                   kRegistrations / 2);
-  }
-
   void MetricsHoldCountsAndLatencies()
   {
     Session session(mCallerPort, "bookings");
--- a/Tests/StandIns/Line/LineStore.cpp
+++ b/Tests/StandIns/Line/LineStore.cpp
@@ -131,7 +131,6 @@
              { "storeRevision", mRevision } } });
     return;
   }
-  ++mWatchCalls[kind];
   const Watch watch{ aSocket,
                      kind,
                      query.queryItemValue("watch").toLongLong() };
--- a/Tests/StandIns/Line/LineStore.h
+++ b/Tests/StandIns/Line/LineStore.h
@@ -32,8 +32,6 @@
   /// Answers whether a promotion is accepted.
   std::function<bool(const QString&)> mOnPromote;
   std::vector<quint64> mTokens;
-  /// Watches that arrived, by kind.
-  std::map<QString, size_t> mWatchCalls;
 
 private:
   struct Reply
