--- a/Libraries/LibConfiguration/RelaySettings.cpp
+++ b/Libraries/LibConfiguration/RelaySettings.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr const char kSection[] = "relay";
+constexpr double kLeastShare = 0.01;
+constexpr double kMostShare = 1024;
 
 }
 
@@ -31,6 +33,11 @@
     settings.mReadinessAddress = relay->HostAndPort("readiness_address");
     settings.mReadinessPath = relay->Text("readiness_path");
     settings.mMetricsAddress = relay->HostAndPort("metrics_address");
+    if (relay->Has("peer_address")) {
+      settings.mPeerAddress = relay->HostAndPort("peer_address");
+    }
+    settings.mProcessorShare =
+      relay->Number("processor_share", 1.0, kLeastShare, kMostShare);
     settings.mStore = relay->HostAndPort("store");
     settings.mPromotion = relay->HostAndPort("promotion");
     settings.mGrace = relay->Time("grace", 1s, 10min).value_or(6s);
--- a/Libraries/LibConfiguration/RelaySettings.h
+++ b/Libraries/LibConfiguration/RelaySettings.h
@@ -15,6 +15,10 @@
   /// The path that the load balancer asks for.
   std::string mReadinessPath;
   Address mMetricsAddress;
+  /// Where other instances reach this one; without a port it has no peers.
+  Address mPeerAddress;
+  /// Processor cores that this instance may use.
+  double mProcessorShare = 1.0;
   Address mStore;
   Address mPromotion;
   /// From SIGTERM to SIGKILL.
--- a/Libraries/LibConfiguration/YamlMap.cpp
+++ b/Libraries/LibConfiguration/YamlMap.cpp
@@ -124,6 +124,28 @@
   return value;
 }
 
+double
+YamlMap::Number(const std::string& aKey,
+                double aDefault,
+                double aMinimum,
+                double aMaximum)
+{
+  const auto node = Take(aKey);
+  if (!node.IsDefined()) {
+    return aDefault;
+  }
+  double value = 0;
+  // A comparison with something that is no number is false.
+  if (!YAML::convert<double>::decode(node, value) ||
+      !(value >= aMinimum && value <= aMaximum)) {
+    FailAt(node.Mark(),
+           "\"" + aKey + "\" must be a number from " +
+             std::to_string(aMinimum) + " to " + std::to_string(aMaximum));
+    return aDefault;
+  }
+  return value;
+}
+
 bool
 YamlMap::Flag(const std::string& aKey, bool aDefault)
 {
--- a/Libraries/LibConfiguration/YamlMap.h
+++ b/Libraries/LibConfiguration/YamlMap.h
@@ -22,6 +22,10 @@
                  unsigned aDefault,
                  unsigned aMinimum,
                  unsigned aMaximum);
+  double Number(const std::string& aKey,
+                double aDefault,
+                double aMinimum,
+                double aMaximum);
   bool Flag(const std::string& aKey, bool aDefault);
   std::optional<Milliseconds> Time(const std::string& aKey,
                                    Milliseconds aMinimum,
--- a/Libraries/LibDecision/FleetView.cpp
+++ b/Libraries/LibDecision/FleetView.cpp
@@ -7,36 +7,32 @@
 void
 FleetView::Observe(const std::vector<FleetEntry>& aEntries, Instant aNow)
 {
+  // The interval grows with the entries, also with those that are gone.
+  const auto expiry =
+    mSettings.mMissedRefreshes *
+    std::max<Duration>(mSettings.mRefresh,
+                       mSettings.mRefreshPerInstance * aEntries.size());
   std::map<std::string, Known> instances;
+  mLive.clear();
   for (const auto& it : aEntries) {
-    const auto known = mInstances.find(it.mInstance);
+    const auto known = mInstances.find(it.mInstance.mName);
     const bool isUnchanged =
       known != mInstances.end() && known->second.mRevision == it.mRevision;
-    instances[it.mInstance] = { it.mRevision,
-                                isUnchanged ? known->second.mChangedAt : aNow };
+    const auto changedAt = isUnchanged ? known->second.mChangedAt : aNow;
+    instances[it.mInstance.mName] = { it.mRevision, changedAt };
+    if (aNow - changedAt < expiry) {
+      mLive.push_back(it.mInstance);
+    }
   }
+  std::ranges::sort(mLive, {}, &InstanceInfo::mName);
   mInstances = std::move(instances);
 }
 
-unsigned
-FleetView::Count(Instant aNow) const
-{
-  // The interval grows with the entries, also with those that are gone.
-  const auto expiry =
-    mSettings.mMissedRefreshes *
-    std::max<Duration>(mSettings.mRefresh,
-                       mSettings.mRefreshPerInstance * mInstances.size());
-  return static_cast<unsigned>(
-    std::ranges::count_if(mInstances, [&](const auto& it) {
-      return aNow - it.second.mChangedAt < expiry;
-    }));
-}
-
 Duration
-FleetView::RefreshInterval(Instant aNow) const
+FleetView::RefreshInterval() const
 {
   return std::max<Duration>(mSettings.mRefresh,
-                            mSettings.mRefreshPerInstance * Count(aNow));
+                            mSettings.mRefreshPerInstance * mLive.size());
 }
 
 }
--- a/Libraries/LibDecision/FleetView.h
+++ b/Libraries/LibDecision/FleetView.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "LibDecision/Instant.h"
+#include "LibDecision/Placement.h"
 
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 namespace papayaline {
@@ -12,7 +12,7 @@
 /// What an instance wrote of itself into the platform's store.
 struct FleetEntry
 {
-  std::string mInstance;
+  InstanceInfo mInstance;
   /// Changes with each announcement.
   int64_t mRevision = 0;
 
@@ -31,8 +31,10 @@
   int mMissedRefreshes = 3;
 };
 
-/// How many instances there are, by what they announce. No clocks of different
-/// machines are compared. Thread safety: one thread.
+/// The instances that live, by what they announce. Which do is decided when a
+/// list is taken and holds until the next: while the store is away nobody
+/// counts as gone. No clocks of different machines are compared. Thread safety:
+/// one thread.
 class FleetView
 {
 public:
@@ -44,10 +46,10 @@
   /// Takes the entries as listed at aNow; those not named are gone.
   void Observe(const std::vector<FleetEntry>& aEntries, Instant aNow);
 
-  /// 0 while nothing is known.
-  unsigned Count(Instant aNow) const;
+  /// Empty while nothing is known. In the order of their names.
+  const std::vector<InstanceInfo>& Live() const { return mLive; }
   /// How often an instance announces itself.
-  Duration RefreshInterval(Instant aNow) const;
+  Duration RefreshInterval() const;
 
 private:
   struct Known
@@ -58,6 +60,7 @@
 
   FleetSettings mSettings;
   std::map<std::string, Known> mInstances;
+  std::vector<InstanceInfo> mLive;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibDecision/HomePlan.cpp
@@ -0,0 +1,115 @@
+#include "LibDecision/HomePlan.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace papayaline {
+
+namespace {
+
+/// Instances of aDomain in the order in which they are tried for a group.
+std::vector<InstanceInfo>
+RankDomain(const std::vector<InstanceInfo>& aOrder,
+           const std::string& aDomain,
+           size_t aRanks)
+{
+  std::vector<InstanceInfo> ranked;
+  for (const auto& it : aOrder) {
+    if (it.mFailureDomain == aDomain && ranked.size() < aRanks) {
+      ranked.push_back(it);
+    }
+  }
+  return ranked;
+}
+
+/// Lower is better: how many times a statement and its answer cross domains.
+unsigned
+CrossingsOf(const HomeNeed& aNeed, const HomeCandidate& aCandidate)
+{
+  const bool isOwn = aCandidate.mFailureDomain == aNeed.mFailureDomain;
+  const bool isPrimary = aCandidate.mFailureDomain == aNeed.mPrimaryDomain;
+  if (aNeed.mNeedsPrimary) {
+    return isPrimary ? 0 : isOwn ? 1 : 2;
+  }
+  // A home beside the primary reads at replicas elsewhere.
+  return isOwn ? 0 : isPrimary ? 2 : 1;
+}
+
+}
+
+bool
+HomePlan::IsHome(const std::string& aInstance) const
+{
+  const std::span homes(mRanked.data(), mHomes);
+  return mAreAllHome ||
+         std::ranges::find(homes, aInstance, &InstanceInfo::mName) !=
+           homes.end();
+}
+
+HomePlan
+PlanHomes(const std::string& aGroup,
+          const std::vector<InstanceInfo>& aInstances,
+          const std::vector<std::string>& aDomains,
+          unsigned aMaxConnections,
+          const HomeRules& aRules)
+{
+  HomePlan plan;
+  auto order = RendezvousOrder(aGroup, aInstances);
+  std::erase_if(order, &InstanceInfo::mIsLeaving);
+  std::vector<std::vector<InstanceInfo>> domains;
+  std::ranges::transform(
+    aDomains, std::back_inserter(domains), [&](const auto& it) {
+      return RankDomain(order, it, aRules.mRanks);
+    });
+  // In rounds: the best of each domain, then the second of each.
+  for (size_t rank = 0; rank < aRules.mRanks; ++rank) {
+    for (const auto& it : domains) {
+      if (rank < it.size()) {
+        plan.mRanked.push_back(it[rank]);
+      }
+    }
+  }
+  // Where the databases' domains have too few instances, others take part.
+  const auto homes = std::max(aRules.mMinHomes, aDomains.size());
+  for (const auto& it : order) {
+    if (plan.mRanked.size() >= homes) {
+      break;
+    }
+    if (std::ranges::find(plan.mRanked, it) == plan.mRanked.end()) {
+      plan.mRanked.push_back(it);
+    }
+  }
+  const auto usable =
+    aMaxConnections - std::max(aMaxConnections / aRules.mReserveDivisor, 1U);
+  plan.mHomes = std::min(homes, plan.mRanked.size());
+  plan.mAreAllHome = aInstances.size() <= usable || plan.mHomes == 0;
+  return plan;
+}
+
+std::optional<size_t>
+ChooseHome(const HomeNeed& aNeed, std::span<const HomeCandidate> aCandidates)
+{
+  using Rank = std::tuple<bool, unsigned, bool, size_t>;
+  std::optional<size_t> best;
+  Rank bestRank;
+  for (size_t it = 0; it < aCandidates.size(); ++it) {
+    const auto& candidate = aCandidates[it];
+    if (!candidate.mIsUsable) {
+      continue;
+    }
+    const auto spread = std::hash<std::string>()(
+      aNeed.mGroup + '\n' + aNeed.mInstance + '\n' + candidate.mName);
+    const Rank rank{ !candidate.mIsHome,
+                     CrossingsOf(aNeed, candidate),
+                     !candidate.mIsSelf,
+                     spread };
+    if (!best || rank < bestRank) {
+      best = it;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+}
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -1,6 +1,7 @@
 #include "LibDecision/Placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <set>
 #define XXH_INLINE_ALL
@@ -10,11 +11,14 @@
 
 namespace {
 
-uint64_t
+double
 Score(const std::string& aKey, const InstanceInfo& aInstance)
 {
   const auto text = aKey + '\0' + aInstance.mName;
-  return XXH3_64bits(text.data(), text.size());
+  const auto hash = XXH3_64bits(text.data(), text.size());
+  // The middle of one of 2^53 equal parts, so that the logarithm is finite.
+  const auto uniform = std::ldexp((hash >> 11) + 0.5, -53);
+  return -(aInstance.mWeight / std::log(uniform));
 }
 
 }
--- a/Libraries/LibDecision/Placement.h
+++ b/Libraries/LibDecision/Placement.h
@@ -13,12 +13,16 @@
   /// Address of its HTTP port as "host:port".
   std::string mAddress;
   bool mIsLeaving = false;
+  /// Its share of the work, in hundredths of a processor core.
+  unsigned mWeight = 100;
 
   auto operator<=>(const InstanceInfo&) const = default;
 };
 
 /// Orders instances for a key by rendezvous hashing; every instance computes
-/// the same order from the same list. Pure; any thread.
+/// the same order from the same list. The chance to be first is in proportion
+/// to the weight, and an instance that comes or goes moves no other against the
+/// rest. Pure; any thread.
 std::vector<InstanceInfo>
 RendezvousOrder(const std::string& aKey, std::vector<InstanceInfo> aInstances);
 
--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -127,6 +127,8 @@
   /// Whether the primary is silent here while its replicas go on receiving:
   /// other instances reach it.
   bool IsCutOff() const { return mIsWitnessed; }
+  /// Whether a takeover is under way.
+  bool IsBusy() const { return mState != State::Watching; }
 
 private:
   enum class State
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -24,6 +24,16 @@
   mConfiguration = aConfiguration;
 }
 
+void
+RelayGroup::SetPlacement(const GroupPlacement& aPlacement)
+{
+  if (aPlacement.mIsHome != mPlacement.mIsHome) {
+    Log(aPlacement.mIsHome ? "group.home" : "group.standby",
+        { { "sharers", std::to_string(aPlacement.mSharers) } });
+  }
+  mPlacement = aPlacement;
+}
+
 void
 RelayGroup::SetMembers(const std::vector<GroupMember>& aMembers)
 {
@@ -92,6 +102,7 @@
     return;
   }
   const auto& request = journey->mRequest;
+  mFollowedUntil = request.mAskedAt + mSettings.mStandbyLinger;
   if (request.mRoute.mFreshness != Freshness::Latest) {
     mFrontierWantedUntil = request.mAskedAt + std::chrono::seconds(3);
   }
@@ -177,6 +188,11 @@
 RelayGroup::Tick()
 {
   const auto now = mEnvironment.mNow();
+  if (!IsFollowing(now)) {
+    StandBy(now);
+    return;
+  }
+  mIsStandingBy = false;
   for (auto& [name, it] : mMembers) {
     it.mPool->Tick(now);
   }
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -5,7 +5,7 @@
 #include "LibDecision/TakeoverMachine.h"
 #include "LibRelay/LinkPool.h"
 #include "LibRelay/Protocols.h"
-#include "LibRelay/RelayRequest.h"
+#include "LibRelay/StatementRunner.h"
 
 #include <list>
 #include <map>
@@ -57,6 +57,21 @@
   /// After a database refused a statement for lack of a slot.
   Duration mBusyDelay = std::chrono::milliseconds(8);
   unsigned mMaxAttempts = 12;
+  /// How long an instance that is not home to the group goes on following it
+  /// after a statement that it had to run itself.
+  Duration mStandbyLinger = std::chrono::seconds(10);
+};
+
+/// What an instance is to a group.
+struct GroupPlacement
+{
+  /// Keeps connections, follows the databases and replaces a failed primary. An
+  /// instance that is not home does so only while it has statements to run.
+  bool mIsHome = true;
+  /// How many instances share the connections; 0 when that is not known.
+  unsigned mSharers = 0;
+
+  bool operator==(const GroupPlacement&) const = default;
 };
 
 /// What latencies are counted by.
@@ -76,8 +91,6 @@
   UpstreamLink::Clock mNow;
   UpstreamProtocolFactory mProtocol = nullptr;
   std::string mFailureDomain;
-  /// How many instances there are; 0 when that is not known.
-  std::function<unsigned()> mCountInstances;
   /// The promotion duty; see TakeoverMachine.
   std::function<std::optional<DutyGrant>()> mGrant;
   std::function<void(const std::string& aGroup)> mAcquireDuty;
@@ -111,7 +124,9 @@
 /// Serves the statements for one group on one instance: connections, evidence,
 /// choice of database, repetition, and the takeover of a failed primary. Free
 /// of sockets and clocks. Thread safety: one thread.
-class RelayGroup : public AnswerObserver
+class RelayGroup
+  : public AnswerObserver
+  , public StatementRunner
 {
 public:
   RelayGroup(const RelayEnvironment& aEnvironment,
@@ -122,17 +137,14 @@
   void Configure(const RelayGroupConfiguration& aConfiguration);
   void SetMembers(const std::vector<GroupMember>& aMembers);
 
-  /// Runs a statement outside a transaction, or the first of one.
-  void Submit(RelayRequest aRequest, OutcomeHandler aHandler);
-  /// Runs a further statement, or the commit, of a transaction. The hold ends
-  /// when the outcome carries none.
+  void SetPlacement(const GroupPlacement& aPlacement);
+
+  void Submit(RelayRequest aRequest, OutcomeHandler aHandler) override;
   void Continue(const std::shared_ptr<TransactionHold>& aHold,
                 RelayRequest aRequest,
-                OutcomeHandler aHandler);
-  /// Forgets the statements of a session that still wait.
-  void Cancel(const SessionState& aSession);
-  /// Rolls a transaction back; the caller needs no answer.
-  void Abandon(const std::shared_ptr<TransactionHold>& aHold);
+                OutcomeHandler aHandler) override;
+  void Cancel(const SessionState& aSession) override;
+  void Abandon(const std::shared_ptr<TransactionHold>& aHold) override;
 
   /// Must run at least each 20 ms while anything waits.
   void Tick();
@@ -142,6 +154,7 @@
 
   const GroupView& View() const { return mView; }
   const std::string& Name() const { return mConfiguration.mName; }
+  unsigned MaxConnections() const { return mConfiguration.mMaxConnections; }
   const RelayCounts& Counts() const { return mCounts; }
   bool IsIdle() const { return mJourneys.empty(); }
   /// A line for each member on what is believed of it, for the log.
@@ -251,6 +264,8 @@
   bool IsReplaced(const PrimaryOfGroup& aPrimary) const;
 
   // Control.
+  bool IsFollowing(Instant aNow) const;
+  void StandBy(Instant aNow);
   void Probe(Instant aNow);
   void AskStatus(const std::string& aName, uint64_t& aCount);
   void SendCommand(const CommandMember& aCommand);
@@ -292,6 +307,10 @@
   Instant mFrontierWantedUntil;
   RelayCounts mCounts;
   RetryBudget mRetries;
+  GroupPlacement mPlacement;
+  /// Until when the group is followed although this instance is not home.
+  Instant mFollowedUntil;
+  bool mIsStandingBy = false;
   bool mIsDispatchDue = false;
   bool mIsDispatching = false;
 };
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -31,6 +31,33 @@
 
 }
 
+/// Whether there is a reason to keep in touch with the databases.
+bool
+RelayGroup::IsFollowing(Instant aNow) const
+{
+  return mPlacement.mIsHome || aNow < mFollowedUntil || mTakeover.IsBusy() ||
+         !mJourneys.empty() || !mExchanges.empty();
+}
+
+/// Lets the connections go; whoever is home to the group follows it.
+void
+RelayGroup::StandBy(Instant aNow)
+{
+  if (!std::exchange(mIsStandingBy, true)) {
+    mEvidenceMissingSince.reset();
+    for (auto& [name, it] : mMembers) {
+      it.mNextProbe = {};
+      it.mCommands.clear();
+    }
+  }
+  for (auto& [name, it] : mMembers) {
+    ConnectionPlan plan;
+    plan.mMinimum = 0;
+    it.mPool->SetPlan(plan);
+    it.mPool->Tick(aNow);
+  }
+}
+
 void
 RelayGroup::Probe(Instant aNow)
 {
@@ -233,11 +260,15 @@
 {
   auto& pool = *mMembers.at(aStatus.mUpstream).mPool;
   const auto slots = mView.FindMember(aStatus.mUpstream)->mSlots;
-  pool.SetPlan(PlanConnections({ mConfiguration.mMaxConnections,
-                                 aStatus.mConnections,
-                                 static_cast<unsigned>(pool.Size()),
-                                 mEnvironment.mCountInstances(),
-                                 slots }));
+  auto plan = PlanConnections({ mConfiguration.mMaxConnections,
+                                aStatus.mConnections,
+                                static_cast<unsigned>(pool.Size()),
+                                mPlacement.mSharers,
+                                slots });
+  if (!mPlacement.mIsHome) {
+    plan.mMinimum = 0;
+  }
+  pool.SetPlan(plan);
 }
 
 void
--- a/Libraries/LibRelay/RelayRequest.h
+++ b/Libraries/LibRelay/RelayRequest.h
@@ -14,10 +14,24 @@
   ReadWrite,
 };
 
-/// A connection that one transaction holds from its first statement to its end.
+/// A transaction that another instance holds for this one.
+struct ForwardedTransaction
+{
+  std::string mPeer;
+  /// Which connection to the peer it belongs to: it ends with it.
+  uint64_t mConnection = 0;
+  uint64_t mId = 0;
+
+  bool operator==(const ForwardedTransaction&) const = default;
+};
+
+/// A connection that one transaction holds from its first statement to its end,
+/// here or at another instance.
 struct TransactionHold
 {
+  /// Null when another instance holds it.
   LinkPointer mLink;
+  std::optional<ForwardedTransaction> mForwarded;
   TransactionMode mMode = TransactionMode::ReadWrite;
   /// The primary that it runs at; none for a replica.
   std::optional<PrimaryOfGroup> mPrimary;
--- a/Libraries/LibRelay/RelayRouter.cpp
+++ b/Libraries/LibRelay/RelayRouter.cpp
@@ -4,6 +4,20 @@
 
 namespace papayaline {
 
+namespace {
+
+/// Whether no session and no other instance holds on to a group.
+bool
+IsUnused(const std::shared_ptr<RelayGroup>& aGroup,
+         const std::shared_ptr<StatementRunner>& aRunner)
+{
+  const bool isItsOwnRunner = aRunner == aGroup;
+  return aGroup->IsIdle() && aGroup.use_count() <= 2 &&
+         aRunner.use_count() <= (isItsOwnRunner ? 2 : 1);
+}
+
+}
+
 RelayRouter::RelayRouter(RelayEnvironment aEnvironment)
   : mEnvironment(std::move(aEnvironment))
 {
@@ -17,11 +31,12 @@
   }
   mConfiguration = aConfiguration;
   for (const auto& it : aConfiguration.mGroups) {
-    auto& group = mGroups[it.mName];
-    if (!group) {
-      group = std::make_shared<RelayGroup>(mEnvironment, it);
+    auto& served = mGroups[it.mName];
+    if (!served.mGroup) {
+      served.mGroup = std::make_shared<RelayGroup>(mEnvironment, it);
+      served.mRunner = mMakeRunner ? mMakeRunner(served.mGroup) : served.mGroup;
     }
-    group->Configure(it);
+    served.mGroup->Configure(it);
   }
   // A group that is no longer configured goes once its transactions ended.
   std::erase_if(mGroups, [&](const auto& it) {
@@ -29,7 +44,7 @@
                              it.first,
                              &RelayGroupConfiguration::mName) ==
              aConfiguration.mGroups.end() &&
-           it.second.use_count() == 1 && it.second->IsIdle();
+           IsUnused(it.second.mGroup, it.second.mRunner);
   });
   ApplyMembers();
   return true;
@@ -45,15 +60,15 @@
 void
 RelayRouter::ApplyMembers()
 {
-  for (const auto& [name, group] : mGroups) {
+  for (const auto& [name, served] : mGroups) {
     std::vector<GroupMember> members;
     for (const auto& it : mEntries) {
       if (it.mGroup == name) {
         members.push_back(it.mMember);
       }
     }
-    if (members != group->View().Members()) {
-      group->SetMembers(members);
+    if (members != served.mGroup->View().Members()) {
+      served.mGroup->SetMembers(members);
     }
   }
 }
@@ -62,14 +77,21 @@
 RelayRouter::FindGroup(const std::string& aName) const
 {
   const auto it = mGroups.find(aName);
-  return it != mGroups.end() ? it->second : nullptr;
+  return it != mGroups.end() ? it->second.mGroup : nullptr;
+}
+
+std::shared_ptr<StatementRunner>
+RelayRouter::FindRunner(const std::string& aName) const
+{
+  const auto it = mGroups.find(aName);
+  return it != mGroups.end() ? it->second.mRunner : nullptr;
 }
 
 void
 RelayRouter::Tick()
 {
   for (const auto& [name, it] : mGroups) {
-    it->Tick();
+    it.mGroup->Tick();
   }
 }
 
--- a/Libraries/LibRelay/RelayRouter.h
+++ b/Libraries/LibRelay/RelayRouter.h
@@ -19,8 +19,19 @@
 class RelayRouter
 {
 public:
+  /// Makes what runs the statements of sessions on a group.
+  using RunnerFactory = std::function<std::shared_ptr<StatementRunner>(
+    const std::shared_ptr<RelayGroup>&)>;
+
   explicit RelayRouter(RelayEnvironment aEnvironment);
 
+  /// Without one, sessions use the groups of this instance. Precondition: no
+  /// configuration has been offered.
+  void SetRunnerFactory(RunnerFactory aFactory)
+  {
+    mMakeRunner = std::move(aFactory);
+  }
+
   /// Refuses a version that is not higher than the present one.
   bool OfferConfiguration(const RelayConfiguration& aConfiguration);
   void SetDirectory(const std::vector<DirectoryEntry>& aEntries);
@@ -30,8 +41,11 @@
   {
     return mConfiguration ? &*mConfiguration : nullptr;
   }
-  /// Null when no configuration names it.
+  /// The group's databases from here. Null when no configuration names it.
   std::shared_ptr<RelayGroup> FindGroup(const std::string& aName) const;
+  /// What runs the statements of sessions on a group, here or elsewhere. Null
+  /// when no configuration names it.
+  std::shared_ptr<StatementRunner> FindRunner(const std::string& aName) const;
   Instant Now() const { return mEnvironment.mNow(); }
 
   void Tick();
@@ -39,17 +53,24 @@
   void ForEachGroup(Use aUse) const
   {
     for (const auto& [name, it] : mGroups) {
-      aUse(*it);
+      aUse(*it.mGroup);
     }
   }
 
 private:
+  struct Served
+  {
+    std::shared_ptr<RelayGroup> mGroup;
+    std::shared_ptr<StatementRunner> mRunner;
+  };
+
   void ApplyMembers();
 
   RelayEnvironment mEnvironment;
+  RunnerFactory mMakeRunner;
   std::optional<RelayConfiguration> mConfiguration;
   std::vector<DirectoryEntry> mEntries;
-  std::map<std::string, std::shared_ptr<RelayGroup>> mGroups;
+  std::map<std::string, Served> mGroups;
 };
 
 }
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -73,7 +73,7 @@
   const auto* configuration = mRouter.Configuration();
   const auto* route =
     configuration ? configuration->FindRoute(mDatabase) : nullptr;
-  auto group = route ? mRouter.FindGroup(route->mGroup) : nullptr;
+  auto group = route ? mRouter.FindRunner(route->mGroup) : nullptr;
   if (!group) {
     Fail({ ErrorKind::UnknownGroup, mDatabase });
     return false;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -65,7 +65,7 @@
   Phase mPhase = Phase::None;
   TransactionMode mMode = TransactionMode::None;
   RelayRoute mRoute;
-  std::shared_ptr<RelayGroup> mGroup;
+  std::shared_ptr<StatementRunner> mGroup;
   std::shared_ptr<TransactionHold> mHold;
   Error mFailure;
   Instant mArrivedAt;
--- a/Services/Papayalined/Relay/FleetController.cpp
+++ b/Services/Papayalined/Relay/FleetController.cpp
@@ -13,8 +13,13 @@
 using namespace std::chrono_literals;
 
 const QString kKind = "papayaline-instances";
+const QString kDomain = "domain";
+const QString kAddress = "address";
+const QString kWeight = "weight";
 /// Instances that start together have announced themselves by then.
 constexpr auto kSecondList = 3s;
+/// Between two lists for the sake of instances that are not known.
+constexpr Duration kRequestedList = 1s;
 /// After the store did not answer.
 constexpr Duration kRetryDelay = 5s;
 
@@ -27,16 +32,35 @@
 }
 
 FleetController::FleetController(ObjectStore& aStore,
-                                 std::string aInstance,
+                                 InstanceInfo aSelf,
                                  std::string aIncarnation,
-                                 UpstreamLink::Clock aClock)
+                                 UpstreamLink::Clock aClock,
+                                 std::function<void()> aOnChange)
   : mStore(aStore)
-  , mInstance(QString::fromStdString(aInstance))
+  , mSelf(std::move(aSelf))
+  , mInstance(QString::fromStdString(mSelf.mName))
   , mIncarnation(QString::fromStdString(aIncarnation))
   , mClock(std::move(aClock))
+  , mOnChange(std::move(aOnChange))
 {
 }
 
+bool
+FleetController::IsKnownHost(const std::string& aHost) const
+{
+  return std::ranges::any_of(Live(), [&](const auto& it) {
+    return it.mAddress.starts_with(aHost + ":");
+  });
+}
+
+void
+FleetController::RequestList()
+{
+  if (mClock() - mLastListAt >= kRequestedList) {
+    List();
+  }
+}
+
 void
 FleetController::Start()
 {
@@ -48,27 +72,43 @@
 void
 FleetController::List()
 {
+  mLastListAt = mClock();
   mStore.ListStale(kKind, [this](const Result<ObjectBatch>& aBatch) {
     if (aBatch.IsError()) {
       Log("fleet.unknown", { { "error", aBatch.GetError().mMessage } });
       return;
     }
     std::vector<FleetEntry> entries;
-    std::ranges::transform(
-      aBatch.Value().mObjects,
-      std::back_inserter(entries),
-      [](const StoredObject& it) {
-        return FleetEntry{ it.mName.toStdString(), it.mRevision };
-      });
-    const auto now = mClock();
-    const auto before = mView.Count(now);
-    mView.Observe(entries, now);
-    if (const auto count = mView.Count(now); count != before) {
-      Log("fleet.changed", { { "instances", std::to_string(count) } });
+    std::ranges::transform(aBatch.Value().mObjects,
+                           std::back_inserter(entries),
+                           [this](const auto& it) { return ReadEntry(it); });
+    const auto before = mView.Live();
+    mView.Observe(entries, mClock());
+    if (mView.Live() != before) {
+      Log("fleet.changed",
+          { { "instances", std::to_string(mView.Live().size()) } });
+      mOnChange();
     }
   });
 }
 
+/// An entry without an address, by an instance of an older version, counts as
+/// an instance that takes nothing from others.
+FleetEntry
+FleetController::ReadEntry(const StoredObject& aObject) const
+{
+  FleetEntry entry;
+  entry.mRevision = aObject.mRevision;
+  entry.mInstance.mName = aObject.mName.toStdString();
+  entry.mInstance.mFailureDomain =
+    aObject.mContent[kDomain].toString().toStdString();
+  entry.mInstance.mAddress =
+    aObject.mContent[kAddress].toString().toStdString();
+  const auto weight = aObject.mContent[kWeight].toInt();
+  entry.mInstance.mWeight = static_cast<unsigned>(std::max(weight, 1));
+  return entry;
+}
+
 /// The entry may be there from an earlier life of this instance.
 void
 FleetController::Announce()
@@ -93,8 +133,13 @@
 void
 FleetController::Write()
 {
-  const QJsonObject content{ { "incarnation", mIncarnation },
-                             { "sequence", static_cast<qint64>(++mSequence) } };
+  const QJsonObject content{
+    { "incarnation", mIncarnation },
+    { "sequence", static_cast<qint64>(++mSequence) },
+    { kDomain, QString::fromStdString(mSelf.mFailureDomain) },
+    { kAddress, QString::fromStdString(mSelf.mAddress) },
+    { kWeight, static_cast<int>(mSelf.mWeight) }
+  };
   mStore.Put(
     kKind,
     mInstance,
@@ -106,7 +151,7 @@
 void
 FleetController::OnWritten(const Result<StoredObject>& aObject)
 {
-  auto delay = mView.RefreshInterval(mClock());
+  auto delay = mView.RefreshInterval();
   if (aObject.IsError()) {
     // The write may have taken effect: the revision is read again.
     mRevision.reset();
--- a/Services/Papayalined/Relay/FleetController.h
+++ b/Services/Papayalined/Relay/FleetController.h
@@ -8,38 +8,45 @@
 
 namespace papayaline {
 
-/// Announces this instance in the platform's store and counts the others, so
-/// that the connections of a database can be divided. Thread safety: the thread
-/// of its event loop.
-// FIXME: In an outage of the store of three intervals all entries count as gone
-// and the number as unknown. The last count should hold until the next list.
+/// Announces this instance in the platform's store and lists the others, which
+/// share the connections and forward statements to each other. Thread safety:
+/// the thread of its event loop.
 class FleetController : public QObject
 {
 public:
   FleetController(ObjectStore& aStore,
-                  std::string aInstance,
+                  InstanceInfo aSelf,
                   std::string aIncarnation,
-                  UpstreamLink::Clock aClock);
+                  UpstreamLink::Clock aClock,
+                  std::function<void()> aOnChange);
 
   void Start();
 
-  /// 0 while nothing is known.
-  unsigned Count() const { return mView.Count(mClock()); }
+  /// Empty while nothing is known.
+  const std::vector<InstanceInfo>& Live() const { return mView.Live(); }
+  /// Whether an instance is listed at this host.
+  bool IsKnownHost(const std::string& aHost) const;
+  /// Lists again, since an instance turned up that is not listed.
+  void RequestList();
 
 private:
   void List();
   void Announce();
   void Write();
+  FleetEntry ReadEntry(const StoredObject& aObject) const;
   void OnWritten(const Result<StoredObject>& aObject);
 
   ObjectStore& mStore;
+  InstanceInfo mSelf;
   QString mInstance;
   QString mIncarnation;
   UpstreamLink::Clock mClock;
+  std::function<void()> mOnChange;
   FleetView mView;
   /// The revision of the own entry; nothing while it is not known.
   std::optional<int64_t> mRevision;
   int64_t mSequence = 0;
+  Instant mLastListAt;
 };
 
 }
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -24,6 +24,11 @@
 /// Kept of the grace time for the exit itself.
 constexpr Duration kExitReserve = 500ms;
 
+/// How soon a change of a group's databases changes its homes.
+constexpr auto kPlacementInterval = 200ms;
+/// The weight of an instance that may use a whole core.
+constexpr double kWeightOfCore = 100;
+
 /// Between two lines that sum up what each group did.
 constexpr auto kSummaryInterval = 10s;
 
@@ -87,15 +92,60 @@
           mSettings.mInstance,
           mIncarnation,
           Now)
-  , mFleet(aPlatform.mStore, mSettings.mInstance, mIncarnation, Now)
+  , mFleet(aPlatform.mStore,
+           Self(),
+           mIncarnation,
+           Now,
+           [this] { OnFleetChanged(); })
   , mRouter(MakeEnvironment())
-  , mDirectory(mRouter, aPlatform.mStore, aPlatform.mReader)
+  , mPeers(mSettings.mInstance, PeerSocket::Connect, Now, Log)
+  , mHomes(Self(), mRouter)
+  , mSharedStore(aPlatform.mStore, mPeers, Self(), Now, Log)
+  , mPeerServer(mRouter, mSharedStore, Now)
+  , mPeerPort(mPeerServer,
+              [this](const std::string& aHost) {
+                const bool isKnown = mFleet.IsKnownHost(aHost);
+                if (!isKnown) {
+                  mFleet.RequestList();
+                }
+                return isKnown;
+              })
+  , mDirectory(mRouter, mSharedStore, aPlatform.mReader)
   , mCallers(mRouter, aPlatform.mCallerProtocol)
 {
   mDuty.SetRouter(mRouter);
+  mRouter.SetRunnerFactory([this](const std::shared_ptr<RelayGroup>& aGroup) {
+    return std::make_shared<ForwardingRunner>(
+      aGroup, mHomes, mPeers, Now, Log, mForwardCounts);
+  });
   StructuredLog::Instance().SetInstanceName(mSettings.mInstance);
   connect(&mTick, &QTimer::timeout, this, [this] { Tick(); });
   connect(&mSummary, &QTimer::timeout, this, [this] { LogSummary(); });
+  connect(&mPlacement, &QTimer::timeout, this, [this] { mHomes.Refresh(); });
+}
+
+InstanceInfo
+RelayService::Self() const
+{
+  InstanceInfo self;
+  self.mName = mSettings.mInstance;
+  self.mFailureDomain = mSettings.mFailureDomain;
+  if (mSettings.mPeerAddress.mPort != 0) {
+    self.mAddress = mSettings.mPeerAddress.ToString();
+  }
+  self.mWeight = static_cast<unsigned>(
+    std::max(mSettings.mProcessorShare * kWeightOfCore, 1.0));
+  return self;
+}
+
+void
+RelayService::OnFleetChanged()
+{
+  const auto& live = mFleet.Live();
+  mPeers.SetPeers(live);
+  mSharedStore.SetFleet(live);
+  mHomes.SetFleet(live);
+  mHomes.Refresh();
 }
 
 RelayEnvironment
@@ -111,7 +161,6 @@
       kLatencyNames[static_cast<size_t>(aKind)],
       std::chrono::duration<double>(aTime).count());
   };
-  environment.mCountInstances = [this] { return mFleet.Count(); };
   environment.mGrant = [this] { return mDuty.Grant(); };
   environment.mAcquireDuty = [this](const std::string& aGroup) {
     mDuty.Acquire(aGroup);
@@ -150,11 +199,15 @@
                     "can't listen on " + address.ToString() };
     }
   }
+  if (mSettings.mPeerAddress.mPort != 0) {
+    PL_TRY(mPeerPort.Listen(mSettings.mPeerAddress));
+  }
   PL_TRY(mCallers.Listen(mSettings.mCallerAddress));
   mDirectory.Start();
   mFleet.Start();
   mTick.start(kTick);
   mSummary.start(kSummaryInterval);
+  mPlacement.start(kPlacementInterval);
   Log("start",
       { { "callers", mSettings.mCallerAddress.ToString() },
         { "domain", mSettings.mFailureDomain },
@@ -227,7 +280,11 @@
     }
     add("term", label, aGroup.View().HighestTerm());
   });
-  add("instances", {}, mFleet.Count());
+  add("instances", {}, mFleet.Live().size());
+  add("forwarded_total", {}, mForwardCounts.mForwarded);
+  add("rerouted_total", {}, mForwardCounts.mRerouted);
+  add("detours_total", {}, mForwardCounts.mDetours);
+  add("served_for_peers_total", {}, mPeerServer.ServedCount());
   return text + Metrics::Instance().LatenciesToText();
 }
 
@@ -252,6 +309,9 @@
   mDirectory.Tick();
   mRouter.Tick();
   mDuty.Tick();
+  mPeers.Tick();
+  mPeerServer.Tick();
+  mSharedStore.Tick();
   mCallers.Tick(Now());
   if (mDrainingSince) {
     DrainStep();
@@ -263,7 +323,10 @@
 {
   if (!mDrainingSince) {
     mDrainingSince = Now();
-    Log("drain", { { "callers", std::to_string(mCallers.Count()) } });
+    mPeerServer.Leave();
+    Log("drain",
+        { { "callers", std::to_string(mCallers.Count()) },
+          { "forPeers", std::to_string(mPeerServer.BusyCount()) } });
   }
 }
 
@@ -277,10 +340,10 @@
   if (elapsed < kBalancerNotice) {
     return;
   }
-  const auto left = mCallers.ReleaseIdle();
+  const auto left = mCallers.ReleaseIdle() + mPeerServer.BusyCount();
   const bool isLate = elapsed >= mSettings.mGrace - kExitReserve;
   if (left == 0 || isLate) {
-    Log("stop", { { "callers", std::to_string(left) } });
+    Log("stop", { { "left", std::to_string(left) } });
     QCoreApplication::exit(0);
   }
 }
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -5,6 +5,8 @@
 #include "DutyController.h"
 #include "FleetController.h"
 #include "LibConfiguration/RelaySettings.h"
+#include "LibPeer/ForwardingRunner.h"
+#include "PeerPort.h"
 
 #include <QHttpServer>
 #include <QSocketNotifier>
@@ -35,6 +37,8 @@
 
 private:
   RelayEnvironment MakeEnvironment();
+  InstanceInfo Self() const;
+  void OnFleetChanged();
   Result<Done> WatchSignals();
   void AddRoutes();
   bool IsReady() const;
@@ -50,12 +54,19 @@
   DutyController mDuty;
   FleetController mFleet;
   RelayRouter mRouter;
+  PeerPool mPeers;
+  HomeDirectory mHomes;
+  SharedObjectStore mSharedStore;
+  PeerServer mPeerServer;
+  PeerPort mPeerPort;
+  ForwardCounts mForwardCounts;
   DirectoryController mDirectory;
   CallerPort mCallers;
   QHttpServer mReadiness;
   QHttpServer mMetrics;
   QTimer mTick;
   QTimer mSummary;
+  QTimer mPlacement;
   std::unique_ptr<QSocketNotifier> mSignals;
   /// When SIGTERM came.
   std::optional<Instant> mDrainingSince;
--- a/Tests/LibDecision/TestFleetView.cpp
+++ b/Tests/LibDecision/TestFleetView.cpp
@@ -11,42 +11,61 @@
   CPPUNIT_TEST(NothingListedCountIsUnknown);
   CPPUNIT_TEST(InstanceThatAnnouncesItselfCounts);
   CPPUNIT_TEST(InstanceSilentForThreeIntervalsIsGone);
+  CPPUNIT_TEST(StoreAwayNobodyCountsAsGone);
   CPPUNIT_TEST(InstanceRemovedFromTheListIsGone);
   CPPUNIT_TEST(FleetOfThousandsWritesNoMoreOften);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Instant kStart = Instant(1h);
 
+  static FleetEntry Entry(const std::string& aName, int64_t aRevision)
+  {
+    FleetEntry entry;
+    entry.mInstance.mName = aName;
+    entry.mRevision = aRevision;
+    return entry;
+  }
+
 public:
   void NothingListedCountIsUnknown()
   {
-    CPPUNIT_ASSERT_EQUAL(0U, FleetView().Count(kStart));
+    CPPUNIT_ASSERT(FleetView().Live().empty());
   }
 
   void InstanceThatAnnouncesItselfCounts()
   {
     FleetView view;
     for (int n = 0; n < 20; ++n) {
-      view.Observe({ { "a", n }, { "b", 2 * n } }, kStart + n * 20s);
+      view.Observe({ Entry("a", n), Entry("b", 2 * n) }, kStart + n * 20s);
     }
-    CPPUNIT_ASSERT_EQUAL(2U, view.Count(kStart + 400s));
+    CPPUNIT_ASSERT_EQUAL(size_t(2), view.Live().size());
   }
 
   void InstanceSilentForThreeIntervalsIsGone()
   {
     FleetView view;
-    view.Observe({ { "a", 1 }, { "b", 1 } }, kStart);
-    view.Observe({ { "a", 2 }, { "b", 1 } }, kStart + 50s);
-    CPPUNIT_ASSERT_EQUAL(2U, view.Count(kStart + 59s));
-    CPPUNIT_ASSERT_EQUAL(1U, view.Count(kStart + 60s));
+    view.Observe({ Entry("a", 1), Entry("b", 1) }, kStart);
+    view.Observe({ Entry("a", 2), Entry("b", 1) }, kStart + 59s);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), view.Live().size());
+    view.Observe({ Entry("a", 3), Entry("b", 1) }, kStart + 60s);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), view.Live().size());
+  }
+
+  /// The store is away for longer than an instance may be silent.
+  void StoreAwayNobodyCountsAsGone()
+  {
+    FleetView view;
+    view.Observe({ Entry("a", 1), Entry("b", 1) }, kStart);
+    view.Observe({ Entry("a", 2), Entry("b", 2) }, kStart + 300s);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), view.Live().size());
   }
 
   void InstanceRemovedFromTheListIsGone()
   {
     FleetView view;
-    view.Observe({ { "a", 1 }, { "b", 1 } }, kStart);
-    view.Observe({ { "b", 1 } }, kStart + 1s);
-    CPPUNIT_ASSERT_EQUAL(1U, view.Count(kStart + 1s));
+    view.Observe({ Entry("a", 1), Entry("b", 1) }, kStart);
+    view.Observe({ Entry("b", 1) }, kStart + 1s);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), view.Live().size());
   }
 
   /// 4,600 instances, and a store that takes some hundred writes a second.
@@ -55,10 +74,10 @@
     FleetView view;
     std::vector<FleetEntry> entries;
     for (int n = 0; n < 4600; ++n) {
-      entries.push_back({ std::to_string(n), 1 });
+      entries.push_back(Entry(std::to_string(n), 1));
     }
     view.Observe(entries, kStart);
-    const std::chrono::duration<double> interval = view.RefreshInterval(kStart);
+    const std::chrono::duration<double> interval = view.RefreshInterval();
     CPPUNIT_ASSERT(4600 / interval.count() <= 50.5);
   }
 };
--- /dev/null
+++ b/Tests/LibDecision/TestHomePlan.cpp
@@ -0,0 +1,262 @@
+#include "LibDecision/HomePlan.h"
+#include "LibDecision/WatchPlan.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <set>
+
+using namespace papayaline;
+
+/// Homes of groups and watchers of the store in a fleet of hundreds.
+class TestHomePlan : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestHomePlan);
+  CPPUNIT_TEST(FleetWithAConnectionEachAllAreHome);
+  CPPUNIT_TEST(FleetLargerThanItsConnectionsOneHomeInEachDomain);
+  CPPUNIT_TEST(DatabasesInOneDomainHomesElsewhereToo);
+  CPPUNIT_TEST(InstanceGoneMovesOnlyItsOwnGroups);
+  CPPUNIT_TEST(InstanceNewTakesOnlyItsShare);
+  CPPUNIT_TEST(HomesFollowTheWeight);
+  CPPUNIT_TEST(LeavingInstanceIsNoHome);
+  CPPUNIT_TEST(NoInstanceKnownAllAreHome);
+  CPPUNIT_TEST(PrimaryNeededHomeBesideItIsChosen);
+  CPPUNIT_TEST(ReadHomeOfOwnDomainIsChosen);
+  CPPUNIT_TEST(ReadWithoutOwnHomeAvoidsThePrimarysDomain);
+  CPPUNIT_TEST(HomesUnusableNextInOrderIsChosen);
+  CPPUNIT_TEST(SmallFleetFollowsTheStoreItself);
+  CPPUNIT_TEST(LargeFleetHasTwoWatchersInEachDomain);
+  CPPUNIT_TEST(FollowersAreSpreadOverTheWatchers);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr unsigned kConnections = 117;
+
+  /// 198 instances in six failure domains, each eleventh of half a core.
+  static std::vector<InstanceInfo> Fleet()
+  {
+    std::vector<InstanceInfo> instances;
+    for (int n = 0; n < 198; ++n) {
+      const auto domain = std::string(1, static_cast<char>('a' + n % 6));
+      instances.push_back({ "i" + std::to_string(n),
+                            domain,
+                            "10.0.0." + std::to_string(n) + ":1",
+                            false,
+                            n % 11 == 0 ? 50U : 12U });
+    }
+    return instances;
+  }
+
+  static std::vector<std::string> Groups()
+  {
+    std::vector<std::string> groups;
+    for (int n = 0; n < 200; ++n) {
+      groups.push_back("g" + std::to_string(n));
+    }
+    return groups;
+  }
+
+  static HomePlan Plan(const std::string& aGroup,
+                       const std::vector<InstanceInfo>& aFleet)
+  {
+    return PlanHomes(aGroup, aFleet, { "a", "b", "c" }, kConnections);
+  }
+
+  static std::vector<InstanceInfo> HomesOf(const HomePlan& aPlan)
+  {
+    return { aPlan.mRanked.begin(),
+             aPlan.mRanked.begin() + static_cast<ptrdiff_t>(aPlan.mHomes) };
+  }
+
+  static HomeCandidate Candidate(const std::string& aName,
+                                 const std::string& aDomain,
+                                 bool aIsHome)
+  {
+    HomeCandidate candidate;
+    candidate.mName = aName;
+    candidate.mFailureDomain = aDomain;
+    candidate.mIsHome = aIsHome;
+    return candidate;
+  }
+
+public:
+  void FleetWithAConnectionEachAllAreHome()
+  {
+    auto fleet = Fleet();
+    fleet.resize(100);
+    CPPUNIT_ASSERT(Plan("g", fleet).mAreAllHome);
+    CPPUNIT_ASSERT(Plan("g", fleet).IsHome("i7"));
+  }
+
+  void FleetLargerThanItsConnectionsOneHomeInEachDomain()
+  {
+    for (const auto& group : Groups()) {
+      const auto plan = Plan(group, Fleet());
+      CPPUNIT_ASSERT(!plan.mAreAllHome);
+      std::set<std::string> domains;
+      for (const auto& it : HomesOf(plan)) {
+        domains.insert(it.mFailureDomain);
+      }
+      CPPUNIT_ASSERT((domains == std::set<std::string>{ "a", "b", "c" }));
+      CPPUNIT_ASSERT_EQUAL(size_t(3), plan.mHomes);
+    }
+  }
+
+  void DatabasesInOneDomainHomesElsewhereToo()
+  {
+    auto fleet = Fleet();
+    std::erase_if(fleet, [](const auto& it) {
+      return it.mFailureDomain == "a" && it.mName != "i0";
+    });
+    const auto plan = PlanHomes("g", fleet, { "a" }, kConnections);
+    CPPUNIT_ASSERT_EQUAL(size_t(3), plan.mHomes);
+    CPPUNIT_ASSERT_EQUAL(std::string("i0"), plan.mRanked[0].mName);
+  }
+
+  void InstanceGoneMovesOnlyItsOwnGroups()
+  {
+    auto fleet = Fleet();
+    std::map<std::string, HomePlan> before;
+    for (const auto& group : Groups()) {
+      before[group] = Plan(group, fleet);
+    }
+    std::erase_if(fleet, [](const auto& it) { return it.mName == "i0"; });
+    size_t moved = 0;
+    for (const auto& group : Groups()) {
+      const auto homes = HomesOf(Plan(group, fleet));
+      if (before[group].IsHome("i0")) {
+        ++moved;
+      } else {
+        CPPUNIT_ASSERT(homes == HomesOf(before[group]));
+      }
+    }
+    CPPUNIT_ASSERT(moved > 0);
+  }
+
+  void InstanceNewTakesOnlyItsShare()
+  {
+    auto fleet = Fleet();
+    std::map<std::string, HomePlan> before;
+    for (const auto& group : Groups()) {
+      before[group] = Plan(group, fleet);
+    }
+    fleet.push_back({ "new", "a", "10.0.1.1:1", false, 12 });
+    for (const auto& group : Groups()) {
+      const auto plan = Plan(group, fleet);
+      if (!plan.IsHome("new")) {
+        CPPUNIT_ASSERT(HomesOf(plan) == HomesOf(before[group]));
+      }
+    }
+  }
+
+  void HomesFollowTheWeight()
+  {
+    std::map<unsigned, double> homes;
+    std::map<unsigned, double> instances;
+    for (const auto& it : Fleet()) {
+      instances[it.mWeight] += it.mFailureDomain <= "c" ? 1 : 0;
+    }
+    for (int n = 0; n < 4000; ++n) {
+      for (const auto& it : HomesOf(Plan(std::to_string(n), Fleet()))) {
+        ++homes[it.mWeight];
+      }
+    }
+    const auto ratio =
+      (homes[50] / instances[50]) / (homes[12] / instances[12]);
+    CPPUNIT_ASSERT(ratio > 3.6 && ratio < 4.7);
+  }
+
+  void LeavingInstanceIsNoHome()
+  {
+    auto fleet = Fleet();
+    const auto home = Plan("g", fleet).mRanked[0].mName;
+    for (auto& it : fleet) {
+      it.mIsLeaving = it.mName == home;
+    }
+    CPPUNIT_ASSERT(!Plan("g", fleet).IsHome(home));
+  }
+
+  void NoInstanceKnownAllAreHome()
+  {
+    CPPUNIT_ASSERT(Plan("g", {}).mAreAllHome);
+  }
+
+  void PrimaryNeededHomeBesideItIsChosen()
+  {
+    const std::vector candidates = { Candidate("x", "a", true),
+                                     Candidate("y", "b", true),
+                                     Candidate("z", "c", true) };
+    CPPUNIT_ASSERT(ChooseHome({ "g", "i", "a", "b", true }, candidates) == 1U);
+    CPPUNIT_ASSERT(ChooseHome({ "g", "i", "a", "", true }, candidates) == 0U);
+  }
+
+  void ReadHomeOfOwnDomainIsChosen()
+  {
+    const std::vector candidates = { Candidate("x", "a", true),
+                                     Candidate("y", "b", true) };
+    CPPUNIT_ASSERT(ChooseHome({ "g", "i", "b", "b", false }, candidates) == 1U);
+  }
+
+  void ReadWithoutOwnHomeAvoidsThePrimarysDomain()
+  {
+    const std::vector candidates = { Candidate("x", "a", true),
+                                     Candidate("y", "b", true),
+                                     Candidate("z", "c", true) };
+    std::set<size_t> chosen;
+    for (int n = 0; n < 50; ++n) {
+      chosen.insert(*ChooseHome(
+        { "g", "i" + std::to_string(n), "f", "b", false }, candidates));
+    }
+    CPPUNIT_ASSERT((chosen == std::set<size_t>{ 0, 2 }));
+  }
+
+  void HomesUnusableNextInOrderIsChosen()
+  {
+    std::vector candidates = { Candidate("x", "a", true),
+                               Candidate("y", "b", false) };
+    candidates[0].mIsUsable = false;
+    CPPUNIT_ASSERT(ChooseHome({ "g", "i", "a", "a", true }, candidates) == 1U);
+    candidates[1].mIsUsable = false;
+    CPPUNIT_ASSERT(!ChooseHome({ "g", "i", "a", "a", true }, candidates));
+  }
+
+  void SmallFleetFollowsTheStoreItself()
+  {
+    auto fleet = Fleet();
+    fleet.resize(9);
+    for (const auto& it : fleet) {
+      CPPUNIT_ASSERT(PlanWatches(it, fleet) == WatchPlan());
+    }
+  }
+
+  void LargeFleetHasTwoWatchersInEachDomain()
+  {
+    std::map<std::string, int> watchers;
+    for (const auto& it : Fleet()) {
+      watchers[it.mFailureDomain] +=
+        PlanWatches(it, Fleet()).mIsWatcher ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t(6), watchers.size());
+    for (const auto& [domain, n] : watchers) {
+      CPPUNIT_ASSERT_EQUAL(2, n);
+    }
+  }
+
+  void FollowersAreSpreadOverTheWatchers()
+  {
+    std::map<std::string, std::set<std::string>> asked;
+    for (const auto& it : Fleet()) {
+      const auto plan = PlanWatches(it, Fleet());
+      if (!plan.mIsWatcher) {
+        CPPUNIT_ASSERT_EQUAL(it.mFailureDomain,
+                             plan.mSources[0].mFailureDomain);
+        CPPUNIT_ASSERT_EQUAL(size_t(7), plan.mSources.size());
+        asked[it.mFailureDomain].insert(plan.mSources[0].mName);
+      }
+    }
+    for (const auto& [domain, watchers] : asked) {
+      CPPUNIT_ASSERT_EQUAL(size_t(2), watchers.size());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestHomePlan);
--- /dev/null
+++ b/Tests/LibPeer/TestPeerMessages.cpp
@@ -0,0 +1,227 @@
+#include "LibPeer/PeerMessages.h"
+#include "PeerWorld.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace papayaline;
+using namespace std::chrono_literals;
+
+/// The messages between instances, as sent and as damaged.
+class TestPeerMessages : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TestPeerMessages);
+  CPPUNIT_TEST(MessagesOfAllKindsAreReadAsSent);
+  CPPUNIT_TEST(BytesOfAnyValueSurvive);
+  CPPUNIT_TEST(MalformedMessagesAreErrors);
+  CPPUNIT_TEST(DamagedMessagesAreErrorsOrMessages);
+  CPPUNIT_TEST(FramesCutAnywhereAreWhole);
+  CPPUNIT_TEST(FrameTooLargeIsRefusedBeforeItIsRead);
+  CPPUNIT_TEST(StatementBeforeTheGreetingIsRefused);
+  CPPUNIT_TEST(GreetingOfAnotherVersionIsRefused);
+  CPPUNIT_TEST(AnswerFromACallingInstanceIsRefused);
+  CPPUNIT_TEST(StatementForAnUnknownGroupIsDeclined);
+  CPPUNIT_TEST(StatementOfAnUnknownTransactionIsDeclined);
+  CPPUNIT_TEST_SUITE_END();
+
+  static ForwardStatement Statement()
+  {
+    ForwardStatement statement;
+    statement.mCall = 7;
+    statement.mTransaction = 3;
+    statement.mStatement = { "5c0e",
+                             StatementForm::ExecutePrepared,
+                             "EXECUTE s1 1a4",
+                             "s1",
+                             "1a4",
+                             Access::Read };
+    statement.mRoute = {
+      "db", "g", Freshness::OwnWrites, 2500ms, 1s, 200ms, 2
+    };
+    statement.mAccess = Access::Write;
+    statement.mMode = TransactionMode::ReadWrite;
+    statement.mArrivedAgo = 15ms;
+    statement.mAskedAgo = 2ms;
+    statement.mValues = { { "name", "value" } };
+    statement.mOwnWrite = LogPosition{ 3, 1207 };
+    statement.mShape = PreparedShape{ Access::Write, "q2c" };
+    return statement;
+  }
+
+  static std::vector<PeerMessage> Samples()
+  {
+    ForwardAnswer answer;
+    answer.mCall = 7;
+    answer.mTransaction = 3;
+    answer.mAnswer.mRows = { "one", "two" };
+    answer.mAnswer.mSignature = "7.1f3";
+    answer.mAnswer.mState = TransactionState::Open;
+    answer.mAnswer.mPosition = LogPosition{ 3, 1209 };
+    ForwardAnswer refusal;
+    refusal.mCall = 8;
+    refusal.mAnswer.mError = Error{ ErrorKind::QueueFull, "no slot" };
+    ObjectsAnswer objects;
+    objects.mCall = 9;
+    objects.mBatch = {
+      { { "main", 12, "text", false }, { "gone", 13, {}, true } }, 14
+    };
+    return { PeerHello{ 1, "i1" },
+             Statement(),
+             answer,
+             refusal,
+             CancelStatement{ 7 },
+             AbandonTransaction{ 3 },
+             PeerPing{},
+             PeerPong{},
+             PeerLeaving{},
+             WatchObjects{ 9, "config", 11, 1s },
+             objects };
+  }
+
+public:
+  void MessagesOfAllKindsAreReadAsSent()
+  {
+    for (const auto& it : Samples()) {
+      const auto read = DecodePeerMessage(EncodePeerMessage(it));
+      CPPUNIT_ASSERT(!read.IsError());
+      CPPUNIT_ASSERT(read.Value() == it);
+    }
+  }
+
+  void BytesOfAnyValueSurvive()
+  {
+    auto statement = Statement();
+    statement.mStatement.mText.clear();
+    for (int n = 0; n < 256; ++n) {
+      statement.mStatement.mText += static_cast<char>(n);
+    }
+    statement.mValues = { { statement.mStatement.mText, "x" } };
+    const auto read = DecodePeerMessage(EncodePeerMessage(statement));
+    CPPUNIT_ASSERT(read.Value() == PeerMessage(statement));
+  }
+
+  void MalformedMessagesAreErrors()
+  {
+    for (const auto* it : { "",
+                            "x",
+                            "{}",
+                            "[]",
+                            "[1]",
+                            "[\"nonsense\"]",
+                            "[\"run\"]",
+                            "[\"run\",-1]",
+                            "[\"cancel\",\"7\"]",
+                            "[\"cancel\",1.5e300]",
+                            "[\"hello\",0,\"i\"]",
+                            "[\"ran\",1,false,0,[1],\"-\",null,0,null]",
+                            "[\"ran\",1,false,0,[],\"-\",[999,\"\"],0,null]",
+                            "[\"objects\",1,false,2,[[\"a\",1]]]" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, DecodePeerMessage(it).IsError());
+    }
+  }
+
+  void DamagedMessagesAreErrorsOrMessages()
+  {
+    std::mt19937 random(20261204);
+    for (const auto& sample : Samples()) {
+      const auto whole = EncodePeerMessage(sample);
+      for (int n = 0; n < 2000; ++n) {
+        auto bytes = whole;
+        const auto edits = 1 + random() % 4;
+        for (unsigned edit = 0; edit < edits && !bytes.isEmpty(); ++edit) {
+          const auto at = static_cast<qsizetype>(
+            random() % static_cast<unsigned>(bytes.size()));
+          switch (random() % 3) {
+            case 0:
+              bytes[at] = static_cast<char>(random());
+              break;
+            case 1:
+              bytes.remove(at, 1 + static_cast<qsizetype>(random() % 8));
+              break;
+            default:
+              bytes.insert(at, bytes.mid(at / 2, 5));
+          }
+        }
+        const auto read = DecodePeerMessage(bytes);
+        CPPUNIT_ASSERT(read.IsError() ||
+                       !EncodePeerMessage(read.Value()).isEmpty());
+      }
+    }
+  }
+
+  void FramesCutAnywhereAreWhole()
+  {
+    QByteArray stream;
+    for (const auto& it : Samples()) {
+      stream += FramePeerMessage(EncodePeerMessage(it));
+    }
+    PeerFrames frames;
+    size_t n = 0;
+    for (const auto byte : stream) {
+      frames.Append(QByteArray(1, byte));
+      const auto next = frames.Next();
+      CPPUNIT_ASSERT(!next.IsError());
+      n += next.Value() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(Samples().size(), n);
+  }
+
+  void FrameTooLargeIsRefusedBeforeItIsRead()
+  {
+    PeerFrames frames;
+    frames.Append(QByteArray("\x7f\xff\xff\xff", 4));
+    CPPUNIT_ASSERT(frames.Next().IsError());
+  }
+
+  void StatementBeforeTheGreetingIsRefused()
+  {
+    PeerWorld world(3, { "d1" });
+    const auto session = world.At(0).mServer->Accept([](const auto&) {});
+    CPPUNIT_ASSERT(session->Handle(Statement()).IsError());
+    CPPUNIT_ASSERT(session->Handle(PeerPing{}).IsError());
+  }
+
+  void GreetingOfAnotherVersionIsRefused()
+  {
+    PeerWorld world(3, { "d1" });
+    const auto session = world.At(0).mServer->Accept([](const auto&) {});
+    CPPUNIT_ASSERT(session->Handle(PeerHello{ 2, "i1" }).IsError());
+  }
+
+  void AnswerFromACallingInstanceIsRefused()
+  {
+    PeerWorld world(3, { "d1" });
+    const auto session = world.At(0).mServer->Accept([](const auto&) {});
+    CPPUNIT_ASSERT(!session->Handle(PeerHello{ 1, "i1" }).IsError());
+    CPPUNIT_ASSERT(session->Handle(ForwardAnswer{}).IsError());
+    CPPUNIT_ASSERT(session->Handle(PeerLeaving{}).IsError());
+    CPPUNIT_ASSERT(session->Handle(PeerHello{ 1, "i1" }).IsError());
+  }
+
+  void AssertDeclined(const ForwardStatement& aStatement)
+  {
+    PeerWorld world(3, { "d1" });
+    std::vector<PeerMessage> sent;
+    const auto session = world.At(0).mServer->Accept(
+      [&](const PeerMessage& aMessage) { sent.push_back(aMessage); });
+    CPPUNIT_ASSERT(!session->Handle(PeerHello{ 1, "i1" }).IsError());
+    CPPUNIT_ASSERT(!session->Handle(aStatement).IsError());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), sent.size());
+    CPPUNIT_ASSERT(std::get<ForwardAnswer>(sent[0]).mIsDeclined);
+  }
+
+  void StatementForAnUnknownGroupIsDeclined()
+  {
+    auto statement = Statement();
+    statement.mTransaction = 0;
+    statement.mRoute.mGroup = "none";
+    AssertDeclined(statement);
+  }
+
+  void StatementOfAnUnknownTransactionIsDeclined()
+  {
+    AssertDeclined(Statement());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPeerMessages);
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -106,7 +106,6 @@
   environment.mNow = [this] { return mNow; };
   environment.mProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d1";
-  environment.mCountInstances = [this] { return mInstances; };
   environment.mGrant = [this] {
     return mGrant && mNow < mGrant->mValidUntil ? mGrant : std::nullopt;
   };
@@ -232,6 +231,7 @@
 FakeUpstreams::Run(Milliseconds aTime)
 {
   const auto until = mNow + aTime;
+  Group().SetPlacement({ mIsHome, mInstances });
   while (mNow < until) {
     mNow += 1ms;
     Replicate();
@@ -242,6 +242,9 @@
         pending.mDeliver(*events);
       }
     }
+    if (mOnStep) {
+      mOnStep();
+    }
     if (mNow >= mNextTick) {
       mNextTick = mNow + kTick;
       mRouter->Tick();
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -56,6 +56,12 @@
   void Publish();
 
   RelayRouter& Router() { return *mRouter; }
+  /// What a further instance before the same databases needs.
+  RelayEnvironment MakeEnvironment();
+  const RelayConfiguration& Configuration() const { return mConfiguration; }
+  const std::vector<DirectoryEntry>& Entries() const { return mEntries; }
+  /// Runs at each millisecond that passes.
+  std::function<void()> mOnStep;
   RelayGroup& Group() { return *mRouter->FindGroup("g"); }
   void SetRoute(const RelayRoute& aRoute);
 
@@ -69,6 +75,8 @@
   unsigned mMaxConnections = 22;
   /// How many instances the group believes in.
   unsigned mInstances = 0;
+  /// Whether this instance is home to the group.
+  bool mIsHome = true;
   /// The promotion duty: granted at once while this holds.
   bool mIsDutyFree = true;
   std::vector<std::string> mOrders;
@@ -101,7 +109,6 @@
     std::function<void(ChannelEvents&)> mDeliver;
   };
 
-  RelayEnvironment MakeEnvironment();
   StatementAnswer Execute(Database& aDatabase,
                           const UpstreamCommand& aCommand,
                           TransactionState& aState);
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -131,6 +131,7 @@
     mInstances[it].mRouter = std::make_unique<RelayRouter>(MakeEnvironment(it));
     mInstances[it].mRouter->OfferConfiguration(configuration);
     mInstances[it].mRouter->SetDirectory(entries);
+    mInstances[it].mRouter->FindGroup("g")->SetPlacement({ true, kInstances });
   }
   for (size_t it = 0; it < kInstances * kCallersPerInstance; ++it) {
     Caller caller;
@@ -161,9 +162,6 @@
   environment.mProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d";
   environment.mLog = [](const auto&, const auto&) {};
-  environment.mCountInstances = [this] {
-    return static_cast<unsigned>(mInstances.size());
-  };
   environment.mGrant = [this, aInstance] {
     return mInstances[aInstance].mDuty->Grant(mNow);
   };
