RelayGroup: Renew a plan of connections that keeps statements waiting

A database counts the connections of vanished instances for some seconds.

A plan that allows no further connection while a statement waits for one is made anew from a status request, no more often than 100 ms times the instances that share the connections. ConnectionsOfThePastGoneMoreAreOpenedUnderLoad failed before.

--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -41,6 +41,8 @@
   void Demand();
   /// Whether a link is being opened that was begun at or after aSince.
   bool IsOpeningSince(Instant aSince) const;
+  /// Whether the plan allows no further link.
+  bool IsAtLimit() const { return mEntries.size() >= mPlan.mAllowance; }
   /// Whether a link is kept open without need.
   bool KeepsOne() const { return mPlan.mMinimum > 0; }
   /// The free link that fits aSession best, or nothing after a Demand.
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -48,6 +48,10 @@
   /// A connection that takes longer to open is not waited for alone: several
   /// times the platform's time for it.
   Duration mUsualOpening = std::chrono::milliseconds(60);
+  /// A plan of connections that keeps a statement waiting is made anew when it
+  /// is older, times the instances that share them: how many a database has
+  /// changes within a second when instances fail or come back.
+  Duration mPlanAge = std::chrono::milliseconds(100);
   /// An unanswered control command; the connection counts as dead.
   Duration mControlTimeout = std::chrono::milliseconds(500);
   /// Before a read is also sent to another database: this many times what it
@@ -182,6 +186,8 @@
     /// Refused for lack of a slot; not fed before then.
     Instant mBusyUntil;
     Instant mNextProbe;
+    /// When the status was asked that the plan of connections rests on.
+    Instant mPlannedAt;
     /// When the directory first said that it leaves.
     std::optional<Instant> mLeavingSince;
     /// Control commands that wait for a connection.
@@ -206,6 +212,7 @@
   bool TryStart(const JourneyPointer& aJourney);
   bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
   void DemandConnection(const std::string& aBest, const RelayNeed& aNeed);
+  void RenewPlan(const std::string& aName);
   bool IsDoubtful(const PrimaryOfGroup& aPrimary) const;
   /// Whether this instance can't serve what another probably can.
   bool IsCutOff() const;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -269,6 +269,7 @@
     plan.mMinimum = 0;
   }
   pool.SetPlan(plan);
+  mMembers.at(aStatus.mUpstream).mPlannedAt = aStatus.mAskedAt;
 }
 
 void
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -119,6 +119,7 @@
 {
   auto& best = *mMembers.at(aBest).mPool;
   best.Demand();
+  RenewPlan(aBest);
   const bool isPrimaryOnly = aNeed.mNeedsPrimary || !aNeed.mMaxAge;
   if (isPrimaryOnly ||
       best.IsOpeningSince(mEnvironment.mNow() - mSettings.mUsualOpening)) {
@@ -129,6 +130,21 @@
   }
 }
 
+/// Asks a database how many connections it has when the plan made from an
+/// earlier answer allows no more of them.
+void
+RelayGroup::RenewPlan(const std::string& aName)
+{
+  auto& member = mMembers.at(aName);
+  const auto now = mEnvironment.mNow();
+  const auto age = mSettings.mPlanAge * std::max(mPlacement.mSharers, 1U);
+  if (member.mPool->IsAtLimit() && !member.IsAsked() &&
+      member.mCommands.empty() && now - member.mPlannedAt >= age) {
+    member.mPlannedAt = now;
+    AskStatus(aName, mCounts.mProbes);
+  }
+}
+
 bool
 RelayGroup::IsCutOff() const
 {
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ReadWithoutEvidenceForLackOfSlotsIsServedOnceThereAreSome);
   CPPUNIT_TEST(ReadsWhereConnectionsAreScarceOpenThemAtOneReplica);
   CPPUNIT_TEST(ReadWhoseConnectionIsSlowToOpenIsServedElsewhere);
+  CPPUNIT_TEST(ConnectionsOfThePastGoneMoreAreOpenedUnderLoad);
   CPPUNIT_TEST(OwnReadAfterWriteIncludesIt);
   CPPUNIT_TEST(ReadWhoseAnswerIsLostIsSentElsewhere);
   CPPUNIT_TEST(ReadsThatAreNeverAnsweredAreRepeatedRarely);
@@ -344,6 +345,30 @@
     CPPUNIT_ASSERT(!caller->LastError());
   }
 
+  /// After a restart of all instances a database counts the connections of
+  /// their past lives for some seconds. The plan made then must not last while
+  /// statements keep the only connection busy.
+  void ConnectionsOfThePastGoneMoreAreOpenedUnderLoad()
+  {
+    auto& primary = mFake->At("a");
+    primary.mConnections += 30;
+    mFake->Run(1s);
+    primary.mConnections -= 30;
+    std::vector<std::unique_ptr<FakeUpstreams::Caller>> callers;
+    for (int n = 0; n < 8; ++n) {
+      callers.push_back(mFake->Connect());
+    }
+    for (int n = 0; n < 1000; ++n) {
+      for (const auto& it : callers) {
+        if (it->IsAnswered()) {
+          it->Say("READ 1");
+        }
+      }
+      mFake->Run(1ms);
+    }
+    CPPUNIT_ASSERT(primary.mConnections > 1);
+  }
+
   void OwnReadAfterWriteIncludesIt()
   {
     mFake->SetRoute(Aged(Freshness::OwnWrites));
