LibPeer: Take peers by a greeting, share fleet lists; settle before watching on

A connection to a frozen instance opens, so a first write to it ended in doubt.

In its first five seconds a watch pauses for half a second after changes; the fleet's list comes from the watchers of the store; an instance reads its own entry from that list and announces itself each 200 ms times the fleet's size. The instance that was called greets before anything is passed on to it, and one that is not listed yet waits for a fresh list. An instance that follows no group ticks each 60 ms. FleetOfThousandsWritesNoMoreOften asks for 5.1 writes a second, not 50.5.

--- a/Libraries/LibDecision/FleetView.h
+++ b/Libraries/LibDecision/FleetView.h
@@ -21,12 +21,12 @@
 
 struct FleetSettings
 {
-  /// Between two announcements of one instance. A fleet of up to a thousand
-  /// writes 50 times a second with it, an eighth of what the platform's
-  /// smallest store takes.
+  /// Between two announcements of one instance.
   Duration mRefresh = std::chrono::seconds(20);
-  /// Added for each instance, so that larger fleets write no more often.
-  Duration mRefreshPerInstance = std::chrono::milliseconds(20);
+  /// At least this for each instance, so that a fleet of any size writes no
+  /// more than five times a second. Who is gone shows in its connections long
+  /// before.
+  Duration mRefreshPerInstance = std::chrono::milliseconds(200);
   /// An instance whose entry stood unchanged for this many intervals is gone.
   int mMissedRefreshes = 3;
 };
--- a/Libraries/LibPeer/ObjectMirror.cpp
+++ b/Libraries/LibPeer/ObjectMirror.cpp
@@ -76,7 +76,7 @@
 std::optional<ObjectBatch>
 ObjectMirror::ChangesAfter(int64_t aRevision) const
 {
-  if (aRevision < mForgottenUpTo) {
+  if (aRevision != 0 && aRevision < mForgottenUpTo) {
     return std::nullopt;
   }
   ObjectBatch batch;
@@ -85,7 +85,7 @@
     return batch;
   }
   for (auto it = mDeleted.upper_bound(aRevision); it != mDeleted.end(); ++it) {
-    if (!mObjects.contains(it->second)) {
+    if (aRevision != 0 && !mObjects.contains(it->second)) {
       StoredObject object;
       object.mName = it->second;
       object.mRevision = it->first;
--- a/Libraries/LibPeer/ObjectMirror.h
+++ b/Libraries/LibPeer/ObjectMirror.h
@@ -28,6 +28,7 @@
   bool IsCurrent(Instant aNow, Duration aMaxAge) const;
   int64_t Revision() const { return mRevision; }
   /// What changed after a revision, or nothing when that is no longer known.
+  /// All objects count as changed after 0.
   std::optional<ObjectBatch> ChangesAfter(int64_t aRevision) const;
 
 private:
--- a/Libraries/LibPeer/PeerMessages.cpp
+++ b/Libraries/LibPeer/PeerMessages.cpp
@@ -305,7 +305,8 @@
   return { FromNumber(aMessage.mCall),
            FromText(aMessage.mKind),
            static_cast<qint64>(aMessage.mAfter),
-           FromTime(aMessage.mWait) };
+           FromTime(aMessage.mWait),
+           FromTime(aMessage.mMaxAge) };
 }
 
 bool
@@ -315,6 +316,7 @@
   aMessage.mKind = aFrom.Text();
   aMessage.mAfter = static_cast<int64_t>(aFrom.Number());
   aMessage.mWait = aFrom.Time();
+  aMessage.mMaxAge = aFrom.Time();
   return aFrom.IsValid();
 }
 
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -8,7 +8,8 @@
 
 namespace papayaline {
 
-/// The first message of the instance that opened the connection.
+/// The first message of either side. The instance that was called sends it when
+/// it takes the connection; nothing may be passed on to it before.
 struct PeerHello
 {
   static constexpr int kVersion = 1;
@@ -83,13 +84,16 @@
   bool operator==(const PeerLeaving&) const = default;
 };
 
-/// Wait for changes of the store's objects of a kind after a revision.
+/// Wait for changes of the store's objects of a kind after a revision; 0 asks
+/// for all of them.
 struct WatchObjects
 {
   uint64_t mCall = 0;
   std::string mKind;
   int64_t mAfter = 0;
   Milliseconds mWait{ 0 };
+  /// How long ago the answer may have been confirmed by the store.
+  Milliseconds mMaxAge{ 0 };
 
   bool operator==(const WatchObjects&) const = default;
 };
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -79,7 +79,8 @@
   PeerChannelEvents events;
   events.mOnOpened = [=, this] {
     if (isCurrent()) {
-      OnOpened(aName);
+      mPeers.at(aName).mChannel->Send(
+        PeerHello{ PeerHello::kVersion, mInstance });
     }
   };
   events.mOnMessage = [=, this](const PeerMessage& aMessage) {
@@ -172,19 +173,15 @@
 }
 
 void
-PeerPool::OnOpened(const std::string& aPeer)
+PeerPool::OnGreeted(Peer& aPeer)
 {
-  const auto now = mClock();
-  auto& peer = mPeers.at(aPeer);
-  peer.mIsOpen = true;
-  peer.mLastHeardAt = now;
-  peer.mChannel->Send(PeerHello{ PeerHello::kVersion, mInstance });
-  const auto queued = std::exchange(peer.mQueued, {});
-  for (auto& [id, it] : peer.mCalls) {
+  aPeer.mIsOpen = true;
+  const auto queued = std::exchange(aPeer.mQueued, {});
+  for (auto& [id, it] : aPeer.mCalls) {
     it.mIsSent = true;
   }
   for (const auto& it : queued) {
-    peer.mChannel->Send(it);
+    aPeer.mChannel->Send(it);
   }
 }
 
@@ -198,7 +195,8 @@
     mLog("peer.regained", { { "peer", aPeer } });
     peer.mFailures = 0;
   }
-  std::visit(Overloaded{ [&](const ForwardAnswer& it) { OnAnswer(peer, it); },
+  std::visit(Overloaded{ [&](const PeerHello&) { OnGreeted(peer); },
+                         [&](const ForwardAnswer& it) { OnAnswer(peer, it); },
                          [&](const ObjectsAnswer& it) { OnObjects(peer, it); },
                          [&](const PeerLeaving&) {
                            mLog("peer.leaving", { { "peer", aPeer } });
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -112,6 +112,7 @@
     std::unique_ptr<PeerChannel> mChannel;
     /// 0 while there is no channel.
     uint64_t mConnection = 0;
+    /// Whether the peer has taken the connection.
     bool mIsOpen = false;
     bool mIsLeaving = false;
     bool mIsListed = true;
@@ -129,7 +130,7 @@
   Peer& Connected(const std::string& aPeer);
   void Open(const std::string& aName, Peer& aPeer);
   void Send(Peer& aPeer, PeerMessage aMessage);
-  void OnOpened(const std::string& aPeer);
+  void OnGreeted(Peer& aPeer);
   void OnMessage(const std::string& aPeer, const PeerMessage& aMessage);
   void OnAnswer(Peer& aPeer, const ForwardAnswer& aAnswer);
   void OnObjects(Peer& aPeer, const ObjectsAnswer& aAnswer);
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -202,10 +202,12 @@
   });
 }
 
-PeerServer::PeerServer(RelayRouter& aRouter,
+PeerServer::PeerServer(std::string aInstance,
+                       RelayRouter& aRouter,
                        SharedObjectStore& aStore,
                        Clock aClock)
-  : mRouter(aRouter)
+  : mInstance(std::move(aInstance))
+  , mRouter(aRouter)
   , mStore(aStore)
   , mClock(std::move(aClock))
 {
@@ -215,6 +217,7 @@
 PeerServer::Accept(Sender aSend)
 {
   auto session = std::make_shared<Session>(*this, std::move(aSend));
+  session->mSend(PeerHello{ PeerHello::kVersion, mInstance });
   if (mIsLeaving) {
     session->mSend(PeerLeaving{});
   }
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -63,8 +63,12 @@
     uint64_t mLastTransaction = 0;
   };
 
-  PeerServer(RelayRouter& aRouter, SharedObjectStore& aStore, Clock aClock);
+  PeerServer(std::string aInstance,
+             RelayRouter& aRouter,
+             SharedObjectStore& aStore,
+             Clock aClock);
 
+  /// Takes a connection of another instance and greets it.
   std::shared_ptr<Session> Accept(Sender aSend);
   /// Tells the other instances that this one is shutting down. What they send
   /// is still served.
@@ -74,6 +78,7 @@
   void Tick();
 
 private:
+  std::string mInstance;
   RelayRouter& mRouter;
   SharedObjectStore& mStore;
   Clock mClock;
--- a/Libraries/LibPeer/SharedObjectStore.cpp
+++ b/Libraries/LibPeer/SharedObjectStore.cpp
@@ -17,7 +17,10 @@
 constexpr int kPeerWaitMs = 1000;
 /// The wait of a watch of the store and the time for its answer: what was
 /// confirmed longer ago may be old.
-constexpr Duration kMaxAge = 3s;
+constexpr Milliseconds kMaxAge = 3s;
+/// The same for lists that may be stale: above the time between two lists of
+/// those who follow the store.
+constexpr Milliseconds kStaleAge = 2min;
 /// How long a source that gave no answer is passed over.
 constexpr Duration kAvoidance = 3s;
 
@@ -62,7 +65,44 @@
 void
 SharedObjectStore::ListStale(const QString& aKind, BatchHandler aHandler)
 {
-  mStore.ListStale(aKind, std::move(aHandler));
+  auto sources = UsableSources();
+  std::ranges::reverse(sources);
+  ListFrom(aKind, std::move(sources), aHandler);
+}
+
+/// Asks the last of the sources first.
+void
+SharedObjectStore::ListFrom(const QString& aKind,
+                            std::vector<std::string> aSources,
+                            const BatchHandler& aHandler)
+{
+  while (!aSources.empty() && !mPeers.IsUsable(aSources.back())) {
+    aSources.pop_back();
+  }
+  if (aSources.empty()) {
+    mStore.ListStale(aKind, [=, this](const Result<ObjectBatch>& aBatch) {
+      if (!aBatch.IsError()) {
+        auto& kind = mKinds[aKind];
+        kind.mIsDirect = true;
+        kind.mMirror.TakeList(aBatch.Value(), mClock());
+      }
+      aHandler(aBatch);
+    });
+    return;
+  }
+  const auto source = aSources.back();
+  aSources.pop_back();
+  WatchObjects list;
+  list.mKind = aKind.toStdString();
+  list.mMaxAge = kStaleAge;
+  mPeers.Watch(source, list, [=, this](const ObjectsAnswer& aAnswer) {
+    if (aAnswer.mIsUnknown) {
+      ListFrom(aKind, aSources, aHandler);
+      return;
+    }
+    mKinds[aKind].mIsDirect = false;
+    aHandler(aAnswer.mBatch);
+  });
 }
 
 void
@@ -134,6 +174,7 @@
   watch.mKind = aKind.toStdString();
   watch.mAfter = aAfter;
   watch.mWait = Milliseconds(std::min(aWaitMs, kPeerWaitMs));
+  watch.mMaxAge = kMaxAge;
   mPeers.Watch(source, watch, [=, this](const ObjectsAnswer& aAnswer) {
     if (aAnswer.mIsUnknown) {
       mAvoided[source] = mClock() + kAvoidance;
@@ -190,8 +231,8 @@
   ObjectsAnswer answer;
   answer.mCall = aWatch.mCall;
   const auto changes = aKind.mMirror.ChangesAfter(aWatch.mAfter);
-  answer.mIsUnknown =
-    !aKind.mIsDirect || !changes || !aKind.mMirror.IsCurrent(mClock(), kMaxAge);
+  answer.mIsUnknown = !aKind.mIsDirect || !changes ||
+                      !aKind.mMirror.IsCurrent(mClock(), aWatch.mMaxAge);
   if (!answer.mIsUnknown) {
     answer.mBatch = *changes;
   }
--- a/Libraries/LibPeer/SharedObjectStore.h
+++ b/Libraries/LibPeer/SharedObjectStore.h
@@ -6,8 +6,8 @@
 
 namespace papayaline {
 
-/// The platform's store, with watches that instances share: a few follow the
-/// store and answer the watches of the others. All other calls go to the store.
+/// The platform's store, with watches and stale lists that instances share: a
+/// few follow the store and answer the others. All other calls go to the store.
 /// An instance that gets no answer from any of them follows the store itself.
 /// Thread safety: one thread.
 class SharedObjectStore : public ObjectStore
@@ -67,6 +67,9 @@
                  int aWaitMs,
                  std::vector<std::string> aSources,
                  const BatchHandler& aHandler);
+  void ListFrom(const QString& aKind,
+                std::vector<std::string> aSources,
+                const BatchHandler& aHandler);
   void WatchStore(const QString& aKind,
                   int64_t aAfter,
                   int aWaitMs,
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -161,6 +161,8 @@
   unsigned MaxConnections() const { return mConfiguration.mMaxConnections; }
   const RelayCounts& Counts() const { return mCounts; }
   bool IsIdle() const { return mJourneys.empty(); }
+  /// Whether it has let the databases go, since others are home to the group.
+  bool IsStandingBy() const { return mIsStandingBy; }
   /// A line for each member on what is believed of it, for the log.
   std::vector<std::pair<std::string, std::string>> DescribeMembers() const;
 
--- a/Services/Papayalined/Relay/FleetController.cpp
+++ b/Services/Papayalined/Relay/FleetController.cpp
@@ -57,41 +57,56 @@
 FleetController::RequestList()
 {
   if (mClock() - mLastListAt >= kRequestedList) {
-    List();
+    mLastListAt = mClock();
+    mStore.List(
+      kKind, [this](const Result<ObjectBatch>& aBatch) { TakeList(aBatch); });
   }
 }
 
 void
 FleetController::Start()
 {
-  List();
-  Announce();
+  List([this] { Announce(); });
   QTimer::singleShot(kSecondList, this, [this] { List(); });
 }
 
 void
-FleetController::List()
+FleetController::List(std::function<void()> aOnDone)
 {
   mLastListAt = mClock();
-  mStore.ListStale(kKind, [this](const Result<ObjectBatch>& aBatch) {
-    if (aBatch.IsError()) {
-      Log("fleet.unknown", { { "error", aBatch.GetError().mMessage } });
-      return;
-    }
-    std::vector<FleetEntry> entries;
-    std::ranges::transform(aBatch.Value().mObjects,
-                           std::back_inserter(entries),
-                           [this](const auto& it) { return ReadEntry(it); });
-    const auto before = mView.Live();
-    mView.Observe(entries, mClock());
-    if (mView.Live() != before) {
-      Log("fleet.changed",
-          { { "instances", std::to_string(mView.Live().size()) } });
-      mOnChange();
+  mStore.ListStale(kKind, [=, this](const Result<ObjectBatch>& aBatch) {
+    TakeList(aBatch);
+    if (aOnDone) {
+      aOnDone();
     }
   });
 }
 
+void
+FleetController::TakeList(const Result<ObjectBatch>& aBatch)
+{
+  if (aBatch.IsError()) {
+    Log("fleet.unknown", { { "error", aBatch.GetError().mMessage } });
+    return;
+  }
+  std::vector<FleetEntry> entries;
+  std::ranges::transform(aBatch.Value().mObjects,
+                         std::back_inserter(entries),
+                         [this](const auto& it) { return ReadEntry(it); });
+  const auto before = mView.Live();
+  mView.Observe(entries, mClock());
+  if (mView.Live() != before) {
+    Log("fleet.changed",
+        { { "instances", std::to_string(mView.Live().size()) } });
+    mOnChange();
+  }
+  if (!mRevision) {
+    const auto own = std::ranges::find(
+      aBatch.Value().mObjects, mInstance, &StoredObject::mName);
+    mRevision = own != aBatch.Value().mObjects.end() ? own->mRevision : 0;
+  }
+}
+
 /// An entry without an address, by an instance of an older version, counts as
 /// an instance that takes nothing from others.
 FleetEntry
@@ -109,14 +124,21 @@
   return entry;
 }
 
-/// The entry may be there from an earlier life of this instance.
 void
 FleetController::Announce()
 {
   if (mRevision) {
     Write();
-    return;
+  } else {
+    ReadRevision();
   }
+}
+
+/// The entry may be there from an earlier life of this instance, and the list
+/// may have been old.
+void
+FleetController::ReadRevision()
+{
   mStore.Get(kKind, mInstance, [this](const Result<StoredObject>& aObject) {
     if (!aObject.IsError()) {
       mRevision = aObject.Value().mRevision;
@@ -155,6 +177,10 @@
   if (aObject.IsError()) {
     // The write may have taken effect: the revision is read again.
     mRevision.reset();
+    if (aObject.GetError().mKind == ErrorKind::Conflict) {
+      ReadRevision();
+      return;
+    }
     delay = kRetryDelay;
     Log("fleet.unannounced", { { "error", aObject.GetError().mMessage } });
   } else {
@@ -162,10 +188,7 @@
   }
   const auto wait =
     std::chrono::duration_cast<std::chrono::milliseconds>(delay);
-  QTimer::singleShot(wait, this, [this] {
-    List();
-    Announce();
-  });
+  QTimer::singleShot(wait, this, [this] { List([this] { Announce(); }); });
 }
 
 }
--- a/Services/Papayalined/Relay/FleetController.h
+++ b/Services/Papayalined/Relay/FleetController.h
@@ -30,8 +30,11 @@
   void RequestList();
 
 private:
-  void List();
+  /// Calls aOnDone after the answer, whatever it is.
+  void List(std::function<void()> aOnDone = {});
+  void TakeList(const Result<ObjectBatch>& aBatch);
   void Announce();
+  void ReadRevision();
   void Write();
   FleetEntry ReadEntry(const StoredObject& aObject) const;
   void OnWritten(const Result<StoredObject>& aObject);
--- a/Services/Papayalined/Relay/ObjectWatcher.cpp
+++ b/Services/Papayalined/Relay/ObjectWatcher.cpp
@@ -17,6 +17,11 @@
 constexpr auto kRetryDelay = 150ms;
 constexpr auto kMaxRetryDelay = 600ms;
 constexpr unsigned kMaxDoublings = 3;
+/// Where everything starts together, databases announce themselves one after
+/// the other. In the first seconds what they write within the pause costs one
+/// call.
+constexpr auto kSettlingTime = 5s;
+constexpr auto kSettlingPause = 500ms;
 
 }
 
@@ -27,6 +32,24 @@
 {
 }
 
+void
+ObjectWatcher::Start()
+{
+  mAge.start();
+  List();
+}
+
+void
+ObjectWatcher::Continue(bool aHasChanged)
+{
+  if (aHasChanged &&
+      std::chrono::milliseconds(mAge.elapsed()) < kSettlingTime) {
+    QTimer::singleShot(kSettlingPause, this, [this] { Watch(); });
+  } else {
+    Watch();
+  }
+}
+
 void
 ObjectWatcher::List()
 {
@@ -39,7 +62,7 @@
     mRevision = aBatch.Value().mStoreRevision;
     mIsListed = true;
     mEvents.mOnListed(aBatch.Value().mObjects);
-    Watch();
+    Continue(true);
   });
 }
 
@@ -60,7 +83,7 @@
       for (const auto& it : aBatch.Value().mObjects) {
         mEvents.mOnChanged(it);
       }
-      Watch();
+      Continue(!aBatch.Value().mObjects.empty());
     });
 }
 
--- a/Services/Papayalined/Relay/ObjectWatcher.h
+++ b/Services/Papayalined/Relay/ObjectWatcher.h
@@ -4,6 +4,7 @@
 #include "LibCore/StructuredLog.h"
 #include "LibPlatform/ObjectStore.h"
 
+#include <QElapsedTimer>
 #include <QObject>
 
 namespace papayaline {
@@ -23,12 +24,14 @@
 
   ObjectWatcher(ObjectStore& aStore, QString aKind, Events aEvents);
 
-  void Start() { List(); }
+  void Start();
 
 private:
   void List();
   void Watch();
   void OnFailure(const Error& aError);
+  /// Watches on, in the first seconds after a pause.
+  void Continue(bool aHasChanged);
   void OnAnswer();
 
   ObjectStore& mStore;
@@ -36,6 +39,7 @@
   Events mEvents;
   int64_t mRevision = 0;
   bool mIsListed = false;
+  QElapsedTimer mAge;
   unsigned mFailures = 0;
 };
 
--- a/Services/Papayalined/Relay/PeerPort.cpp
+++ b/Services/Papayalined/Relay/PeerPort.cpp
@@ -3,12 +3,25 @@
 #include "LibCore/StructuredLog.h"
 
 #include <QHostAddress>
+#include <QTimer>
+#include <algorithm>
+#include <utility>
 
 namespace papayaline {
 
 namespace {
 
 constexpr int kListenBacklog = 1024;
+/// Time for the store to tell of an instance that has just started.
+constexpr auto kAdmissionTime = std::chrono::milliseconds(500);
+/// Connections of unknown hosts beyond this are refused at once.
+constexpr size_t kMaxWaiting = 256;
+
+std::string
+HostOf(const QTcpSocket& aSocket)
+{
+  return aSocket.peerAddress().toString().toStdString();
+}
 
 }
 
@@ -20,12 +33,15 @@
   mListener.setListenBacklogSize(kListenBacklog);
   connect(&mListener, &QTcpServer::newConnection, this, [this] {
     while (auto* socket = mListener.nextPendingConnection()) {
-      Accept(socket);
+      Receive(socket);
     }
   });
 }
 
-PeerPort::~PeerPort() = default;
+PeerPort::~PeerPort()
+{
+  std::ranges::for_each(mWaiting, [](auto* it) { delete it; });
+}
 
 Result<Done>
 PeerPort::Listen(const Address& aAddress)
@@ -39,19 +55,52 @@
 }
 
 void
-PeerPort::Accept(QTcpSocket* aSocket)
+PeerPort::Receive(QTcpSocket* aSocket)
 {
-  const auto host = aSocket->peerAddress().toString().toStdString();
-  if (!mAdmit(host)) {
-    StructuredLog::Instance().Write(
-      LogPriority::Decision, "peer.refused", { { "host", host } });
-    aSocket->abort();
-    aSocket->deleteLater();
+  aSocket->setParent(nullptr);
+  if (mAdmit(HostOf(*aSocket))) {
+    Accept(aSocket);
     return;
   }
-  aSocket->setParent(nullptr);
+  if (mWaiting.size() >= kMaxWaiting) {
+    Refuse(aSocket);
+    return;
+  }
+  mWaiting.push_back(aSocket);
+  QTimer::singleShot(kAdmissionTime, aSocket, [this, aSocket] {
+    if (std::erase(mWaiting, aSocket) > 0) {
+      Refuse(aSocket);
+    }
+  });
+}
+
+void
+PeerPort::AdmitWaiting()
+{
+  const auto waiting = std::exchange(mWaiting, {});
+  for (auto* it : waiting) {
+    if (mAdmit(HostOf(*it))) {
+      Accept(it);
+    } else {
+      mWaiting.push_back(it);
+    }
+  }
+}
+
+void
+PeerPort::Refuse(QTcpSocket* aSocket)
+{
+  StructuredLog::Instance().Write(
+    LogPriority::Decision, "peer.refused", { { "host", HostOf(*aSocket) } });
+  aSocket->abort();
+  aSocket->deleteLater();
+}
+
+void
+PeerPort::Accept(QTcpSocket* aSocket)
+{
   const auto connection = std::make_shared<Connection>();
-  connection->mHost = host;
+  connection->mHost = HostOf(*aSocket);
   const std::weak_ptr weak = connection;
   PeerChannelEvents events;
   events.mOnMessage = [this, weak](const PeerMessage& aMessage) {
--- a/Services/Papayalined/Relay/PeerPort.h
+++ b/Services/Papayalined/Relay/PeerPort.h
@@ -22,6 +22,8 @@
 
   /// Errors: Unreachable when the address can't be listened on.
   Result<Done> Listen(const Address& aAddress);
+  /// Takes the connections that wait for their instance to be listed.
+  void AdmitWaiting();
 
 private:
   struct Connection
@@ -32,6 +34,8 @@
   };
   using ConnectionPointer = std::shared_ptr<Connection>;
 
+  void Receive(QTcpSocket* aSocket);
+  void Refuse(QTcpSocket* aSocket);
   void Accept(QTcpSocket* aSocket);
   void Handle(const ConnectionPointer& aConnection,
               const PeerMessage& aMessage);
@@ -41,6 +45,8 @@
   Admission mAdmit;
   QTcpServer mListener;
   std::list<ConnectionPointer> mConnections;
+  /// Connections from hosts at which no instance is known yet.
+  std::vector<QTcpSocket*> mWaiting;
 };
 
 }
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -17,6 +17,9 @@
 
 /// Bounds how late a deadline, a retry or a silent database is noticed.
 constexpr auto kTick = 20ms;
+/// The same while this instance follows no group: what it has under way is at
+/// others, whose time limits are far longer.
+constexpr auto kStandbyTick = 60ms;
 /// The load balancer asks once a second and goes by two misses.
 constexpr Duration kBalancerNotice = 2300ms;
 /// Open transactions have the first half of the grace time.
@@ -92,16 +95,16 @@
           mSettings.mInstance,
           mIncarnation,
           Now)
-  , mFleet(aPlatform.mStore,
-           Self(),
-           mIncarnation,
-           Now,
-           [this] { OnFleetChanged(); })
   , mRouter(MakeEnvironment())
   , mPeers(mSettings.mInstance, PeerSocket::Connect, Now, Log)
   , mHomes(Self(), mRouter)
   , mSharedStore(aPlatform.mStore, mPeers, Self(), Now, Log)
-  , mPeerServer(mRouter, mSharedStore, Now)
+  , mFleet(mSharedStore,
+           Self(),
+           mIncarnation,
+           Now,
+           [this] { OnFleetChanged(); })
+  , mPeerServer(mSettings.mInstance, mRouter, mSharedStore, Now)
   , mPeerPort(mPeerServer,
               [this](const std::string& aHost) {
                 const bool isKnown = mFleet.IsKnownHost(aHost);
@@ -146,6 +149,7 @@
   mSharedStore.SetFleet(live);
   mHomes.SetFleet(live);
   mHomes.Refresh();
+  mPeerPort.AdmitWaiting();
 }
 
 RelayEnvironment
@@ -316,6 +320,13 @@
   if (mDrainingSince) {
     DrainStep();
   }
+  bool isFollowing = false;
+  mRouter.ForEachGroup(
+    [&](const RelayGroup& aGroup) { isFollowing |= !aGroup.IsStandingBy(); });
+  const auto interval = isFollowing ? kTick : kStandbyTick;
+  if (mTick.intervalAsDuration() != interval) {
+    mTick.start(interval);
+  }
 }
 
 void
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -52,11 +52,11 @@
   RelayPlatform mPlatform;
   std::string mIncarnation;
   DutyController mDuty;
-  FleetController mFleet;
   RelayRouter mRouter;
   PeerPool mPeers;
   HomeDirectory mHomes;
   SharedObjectStore mSharedStore;
+  FleetController mFleet;
   PeerServer mPeerServer;
   PeerPort mPeerPort;
   ForwardCounts mForwardCounts;
--- a/Tests/LibDecision/TestFleetView.cpp
+++ b/Tests/LibDecision/TestFleetView.cpp
@@ -78,7 +78,7 @@
     }
     view.Observe(entries, kStart);
     const std::chrono::duration<double> interval = view.RefreshInterval();
-    CPPUNIT_ASSERT(4600 / interval.count() <= 50.5);
+    CPPUNIT_ASSERT(4600 / interval.count() <= 5.1);
   }
 };
 
--- a/Tests/LibPeer/PeerWorld.cpp
+++ b/Tests/LibPeer/PeerWorld.cpp
@@ -260,13 +260,13 @@
               }
             });
           };
-          link->mSession = At(link->mTo).mServer->Accept(send);
           Schedule(link->mFrom, [link] {
             const auto onOpened = link->mEvents.mOnOpened;
             if (onOpened) {
               onOpened();
             }
           });
+          link->mSession = At(link->mTo).mServer->Accept(send);
         });
       }
       return std::make_unique<Channel>(*this, link);
@@ -277,7 +277,8 @@
   it->mOwnStore = std::make_unique<FakeStore>(now);
   it->mStore = std::make_unique<SharedObjectStore>(
     *it->mOwnStore, *it->mPeers, it->mInfo, now, log);
-  it->mServer = std::make_unique<PeerServer>(*it->mRouter, *it->mStore, now);
+  it->mServer = std::make_unique<PeerServer>(
+    it->mInfo.mName, *it->mRouter, *it->mStore, now);
   it->mRouter->SetRunnerFactory([=](const std::shared_ptr<RelayGroup>& aGroup) {
     return std::make_shared<ForwardingRunner>(
       aGroup, *it->mHomes, *it->mPeers, now, log, it->mCounts);
--- a/Tests/LibPeer/TestForwarding.cpp
+++ b/Tests/LibPeer/TestForwarding.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(WriteWhoseHomeIsKilledIsInDoubtAndNotSentAgain);
   CPPUNIT_TEST(WriteWhoseHomeIsFrozenIsInDoubtAndNotSentAgain);
   CPPUNIT_TEST(WriteToHomeThatIsNotReachedRunsElsewhereOnce);
+  CPPUNIT_TEST(WriteToFrozenHomeNotYetConnectedRunsElsewhereOnce);
   CPPUNIT_TEST(HomeSlowToAnswerIsNotTakenForLost);
   CPPUNIT_TEST(TransactionStaysAtItsHome);
   CPPUNIT_TEST(TransactionWhoseHomeIsLostIsRolledBack);
@@ -211,6 +212,19 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), mWorld->RunsOf("once"));
   }
 
+  /// The kernel of a frozen instance still accepts connections.
+  void WriteToFrozenHomeNotYetConnectedRunsElsewhereOnce()
+  {
+    const auto home = mWorld->HomeOf(mWorld->Outsider("d4"), "WRITE 1 x");
+    mWorld->Freeze(home, 5s);
+    const auto caller = mWorld->Connect(mWorld->Outsider("d3"));
+    caller->Say("WRITE 1 once");
+    mWorld->Run(900ms);
+    AssertAnswered(*caller);
+    mWorld->Run(5s);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mWorld->RunsOf("once"));
+  }
+
   /// A database that takes long to answer is no silence of the home.
   void HomeSlowToAnswerIsNotTakenForLost()
   {
--- a/Tests/LibPeer/TestPeerMessages.cpp
+++ b/Tests/LibPeer/TestPeerMessages.cpp
@@ -74,7 +74,7 @@
              PeerPing{},
              PeerPong{},
              PeerLeaving{},
-             WatchObjects{ 9, "config", 11, 1s },
+             WatchObjects{ 9, "config", 11, 1s, 3s },
              objects };
   }
 
@@ -206,8 +206,9 @@
       [&](const PeerMessage& aMessage) { sent.push_back(aMessage); });
     CPPUNIT_ASSERT(!session->Handle(PeerHello{ 1, "i1" }).IsError());
     CPPUNIT_ASSERT(!session->Handle(aStatement).IsError());
-    CPPUNIT_ASSERT_EQUAL(size_t(1), sent.size());
-    CPPUNIT_ASSERT(std::get<ForwardAnswer>(sent[0]).mIsDeclined);
+    // The greeting comes first.
+    CPPUNIT_ASSERT_EQUAL(size_t(2), sent.size());
+    CPPUNIT_ASSERT(std::get<ForwardAnswer>(sent[1]).mIsDeclined);
   }
 
   void StatementForAnUnknownGroupIsDeclined()
