--- a/Libraries/LibConfiguration/RelayConfiguration.h
+++ b/Libraries/LibConfiguration/RelayConfiguration.h
@@ -17,6 +17,18 @@
   OwnWrites,
 };
 
+/// When a write counts as done.
+enum class Acknowledgement
+{
+  /// Once a majority of the group holds it: no failure of one database loses
+  /// it.
+  Majority,
+  /// Where the configuration asks for no replica, also while no replica
+  /// receives, as long as the primary is proved to lead: it is lost if the
+  /// primary then fails for good.
+  Leader,
+};
+
 /// How statements for one database name are served.
 struct RelayRoute
 {
--- a/Libraries/LibConfiguration/RelaySettings.cpp
+++ b/Libraries/LibConfiguration/RelaySettings.cpp
@@ -38,6 +38,10 @@
     }
     settings.mProcessorShare =
       relay->Number("processor_share", 1.0, kLeastShare, kMostShare);
+    settings.mAcknowledgement =
+      relay->Choice("acknowledge", { "majority", "leader" }) == "leader"
+        ? Acknowledgement::Leader
+        : Acknowledgement::Majority;
     settings.mStore = relay->HostAndPort("store");
     settings.mPromotion = relay->HostAndPort("promotion");
     settings.mGrace = relay->Time("grace", 1s, 10min).value_or(6s);
--- a/Libraries/LibConfiguration/RelaySettings.h
+++ b/Libraries/LibConfiguration/RelaySettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibConfiguration/Configuration.h"
+#include "LibConfiguration/RelayConfiguration.h"
 
 namespace papayaline {
 
@@ -19,6 +19,7 @@
   Address mPeerAddress;
   /// Processor cores that this instance may use.
   double mProcessorShare = 1.0;
+  Acknowledgement mAcknowledgement = Acknowledgement::Majority;
   Address mStore;
   Address mPromotion;
   /// From SIGTERM to SIGKILL.
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -39,6 +39,8 @@
     peer.mIsListed = true;
     if (hasMoved && peer.mChannel) {
       Close(it.mName, "it has another address now");
+      peer.mFailures = 0;
+      peer.mRetryAt = {};
     }
   }
 }
@@ -50,7 +52,10 @@
   if (it == mPeers.end() || it->second.mIsLeaving) {
     return false;
   }
-  return it->second.mChannel || mClock() >= it->second.mRetryAt;
+  // One that failed is used again once it has been reached.
+  const auto& peer = it->second;
+  return peer.mIsOpen ||
+         (peer.mFailures == 0 && (peer.mChannel || mClock() >= peer.mRetryAt));
 }
 
 PeerPool::Peer&
@@ -282,7 +287,7 @@
              { "calls", std::to_string(peer.mCalls.size()) },
              { "transactions", std::to_string(peer.mTransactions.size()) } });
     }
-    constexpr unsigned kMaxDoublings = 3;
+    constexpr unsigned kMaxDoublings = 5;
     const auto delay = std::min<Duration>(
       mSettings.mRetryDelay * (1 << std::min(peer.mFailures, kMaxDoublings)),
       mSettings.mMaxRetryDelay);
@@ -366,6 +371,20 @@
          aNow - aPeer.mLastUsedAt >= mSettings.mIdleTimeout;
 }
 
+/// Connects again to a peer that failed, for as long as it was used lately.
+void
+PeerPool::Reopen(const std::string& aName, Peer& aPeer, Instant aNow)
+{
+  if (aPeer.mChannel || aPeer.mFailures == 0 || aNow < aPeer.mRetryAt) {
+    return;
+  }
+  if (aPeer.mIsListed && aNow - aPeer.mLastUsedAt < mSettings.mIdleTimeout) {
+    Open(aName, aPeer);
+  } else {
+    aPeer.mFailures = 0;
+  }
+}
+
 void
 PeerPool::Tick()
 {
@@ -375,7 +394,8 @@
   }
   mLastTick = now;
   std::vector<std::string> connected;
-  for (const auto& [name, it] : mPeers) {
+  for (auto& [name, it] : mPeers) {
+    Reopen(name, it, now);
     if (it.mChannel) {
       connected.push_back(name);
     }
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -23,8 +23,8 @@
   /// missed says nothing of the others.
   Duration mMaxTick = std::chrono::milliseconds(100);
   /// After a connection failed; doubles up to the maximum.
-  Duration mRetryDelay = std::chrono::milliseconds(500);
-  Duration mMaxRetryDelay = std::chrono::seconds(4);
+  Duration mRetryDelay = std::chrono::milliseconds(100);
+  Duration mMaxRetryDelay = std::chrono::seconds(2);
   /// After an instance said that it leaves: the time of a restart.
   Duration mLeavingDelay = std::chrono::seconds(2);
   /// After which a connection without use is closed.
@@ -137,6 +137,7 @@
   void Close(const std::string& aPeer, const std::string& aReason);
   void CheckSilence(const std::string& aName, Peer& aPeer, Instant aNow);
   void ExpireCalls(const std::string& aName, Peer& aPeer, Instant aNow);
+  void Reopen(const std::string& aName, Peer& aPeer, Instant aNow);
   bool IsIdle(const Peer& aPeer, Instant aNow) const;
   static void Fail(const Call& aCall);
 
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -16,9 +16,9 @@
 {
   /// Queued statements of one group on one instance.
   size_t mQueueLimit = 400;
-  /// How long a commit waits for a replica to have received it where the
-  /// configuration asks for none; evidence that the primary still leads is
-  /// needed in any case.
+  /// How long a commit waits for a replica to have received it where it may be
+  /// acknowledged without; evidence that the primary still leads is needed in
+  /// any case.
   Duration mReplicationWait = std::chrono::milliseconds(100);
   /// A request for evidence that takes longer is put to another replica too.
   Duration mEvidenceTimeout = std::chrono::milliseconds(60);
@@ -95,6 +95,7 @@
   UpstreamLink::Clock mNow;
   UpstreamProtocolFactory mProtocol = nullptr;
   std::string mFailureDomain;
+  Acknowledgement mAcknowledgement = Acknowledgement::Majority;
   /// The promotion duty; see TakeoverMachine.
   std::function<std::optional<DutyGrant>()> mGrant;
   std::function<void(const std::string& aGroup)> mAcquireDuty;
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -32,6 +32,7 @@
 {
   const auto& primary = aConfirmation.mPrimary;
   const bool mayGoUnreplicated =
+    mEnvironment.mAcknowledgement == Acknowledgement::Leader &&
     mConfiguration.mSyncReplicas == 0 &&
     aNow - aConfirmation.mSince >= mSettings.mReplicationWait;
   return mView.IsReplicated(primary, aConfirmation.mWritten) ||
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -159,6 +159,7 @@
   environment.mNow = Now;
   environment.mProtocol = mPlatform.mUpstreamProtocol;
   environment.mFailureDomain = mSettings.mFailureDomain;
+  environment.mAcknowledgement = mSettings.mAcknowledgement;
   environment.mLog = Log;
   environment.mObserveLatency = [](RelayLatency aKind, Duration aTime) {
     Metrics::Instance().ObserveLatency(
--- a/Tests/LibPeer/TestForwarding.cpp
+++ b/Tests/LibPeer/TestForwarding.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(WriteWhoseHomeIsFrozenIsInDoubtAndNotSentAgain);
   CPPUNIT_TEST(WriteToHomeThatIsNotReachedRunsElsewhereOnce);
   CPPUNIT_TEST(WriteToFrozenHomeNotYetConnectedRunsElsewhereOnce);
+  CPPUNIT_TEST(HomeCutOffStatementsDoNotWaitForItsReturn);
+  CPPUNIT_TEST(HomeBackFromACutIsUsedAgain);
   CPPUNIT_TEST(HomeSlowToAnswerIsNotTakenForLost);
   CPPUNIT_TEST(TransactionStaysAtItsHome);
   CPPUNIT_TEST(TransactionWhoseHomeIsLostIsRolledBack);
@@ -225,6 +227,39 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), mWorld->RunsOf("once"));
   }
 
+  /// Many statements while a partition lasts: only those that were under way as
+  /// it began wait for an instance on its other side.
+  void HomeCutOffStatementsDoNotWaitForItsReturn()
+  {
+    auto& instance = mWorld->Outsider("d3");
+    const auto home = mWorld->HomeOf(instance, "READ 1");
+    mWorld->At(home).mIsCut = true;
+    const auto caller = mWorld->Connect(instance);
+    caller->Say("READ 1");
+    mWorld->Run(1500ms);
+    AssertAnswered(*caller);
+    for (int n = 0; n < 60; ++n) {
+      caller->Say("READ 1");
+      mWorld->Run(100ms);
+      AssertAnswered(*caller);
+    }
+  }
+
+  void HomeBackFromACutIsUsedAgain()
+  {
+    auto& instance = mWorld->Outsider("d3");
+    const auto home = mWorld->HomeOf(instance, "READ 1");
+    mWorld->At(home).mIsCut = true;
+    const auto caller = mWorld->Connect(instance);
+    for (int n = 0; n < 6; ++n) {
+      caller->Say("READ 1");
+      mWorld->Run(1s);
+    }
+    mWorld->At(home).mIsCut = false;
+    mWorld->Run(5s);
+    CPPUNIT_ASSERT_EQUAL(home, mWorld->HomeOf(instance, "READ 1"));
+  }
+
   /// A database that takes long to answer is no silence of the home.
   void HomeSlowToAnswerIsNotTakenForLost()
   {
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -80,8 +80,9 @@
   TransactionState mState = TransactionState::None;
 };
 
-FakeUpstreams::FakeUpstreams()
-  : mRouter(std::make_unique<RelayRouter>(MakeEnvironment()))
+FakeUpstreams::FakeUpstreams(Acknowledgement aAcknowledgement)
+  : mAcknowledgement(aAcknowledgement)
+  , mRouter(std::make_unique<RelayRouter>(MakeEnvironment()))
 {
   AddMember("a", Role::Primary);
   AddMember("b", Role::Replica);
@@ -106,6 +107,7 @@
   environment.mNow = [this] { return mNow; };
   environment.mProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d1";
+  environment.mAcknowledgement = mAcknowledgement;
   environment.mGrant = [this] {
     return mGrant && mNow < mGrant->mValidUntil ? mGrant : std::nullopt;
   };
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -45,7 +45,8 @@
     std::vector<UpstreamCommand> mArrived;
   };
 
-  FakeUpstreams();
+  explicit FakeUpstreams(
+    Acknowledgement aAcknowledgement = Acknowledgement::Majority);
   ~FakeUpstreams();
 
   Database& At(const std::string& aName) { return mDatabases.at(aName); }
@@ -120,6 +121,7 @@
   void Deliver(const std::shared_ptr<ChannelEvents>& aEvents,
                std::function<void(ChannelEvents&)> aDeliver);
 
+  Acknowledgement mAcknowledgement;
   Instant mNow = Instant(std::chrono::hours(1));
   Instant mNextTick = mNow;
   std::map<std::string, Database> mDatabases;
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -97,9 +97,12 @@
   std::shared_ptr<Shared> mShared;
 };
 
-RelayWorld::RelayWorld(unsigned aSeed, Freshness aFreshness)
+RelayWorld::RelayWorld(unsigned aSeed,
+                       Freshness aFreshness,
+                       Acknowledgement aAcknowledgement)
   : mRandom(aSeed)
   , mFreshness(aFreshness)
+  , mAcknowledgement(aAcknowledgement)
 {
   for (const auto* it : { "a", "b", "c" }) {
     Database database;
@@ -161,6 +164,7 @@
   environment.mNow = [this] { return mNow; };
   environment.mProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d";
+  environment.mAcknowledgement = mAcknowledgement;
   environment.mLog = [](const auto&, const auto&) {};
   environment.mGrant = [this, aInstance] {
     return mInstances[aInstance].mDuty->Grant(mNow);
@@ -286,8 +290,13 @@
     kept.insert(it.mWrite);
   }
   for (const auto& it : mCommitted) {
-    if (!kept.contains(it)) {
-      mRolledBack.insert(it);
+    if (kept.contains(it)) {
+      continue;
+    }
+    mRolledBack.insert(it);
+    if (mAcknowledgement == Acknowledgement::Majority &&
+        mAcknowledged.contains(it)) {
+      Violate("an acknowledged write was lost at a promotion: " + it);
     }
   }
 }
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -17,7 +17,9 @@
 class RelayWorld
 {
 public:
-  RelayWorld(unsigned aSeed, Freshness aFreshness);
+  RelayWorld(unsigned aSeed,
+             Freshness aFreshness,
+             Acknowledgement aAcknowledgement);
   ~RelayWorld();
 
   void Run(Milliseconds aTime);
@@ -104,6 +106,7 @@
 
   std::mt19937 mRandom;
   Freshness mFreshness;
+  Acknowledgement mAcknowledgement;
   Instant mNow = Instant(std::chrono::hours(1));
   uint64_t mOrder = 0;
   std::vector<Event> mEvents;
--- a/Tests/LibRelay/TestExploration.cpp
+++ b/Tests/LibRelay/TestExploration.cpp
@@ -14,17 +14,20 @@
   CPPUNIT_TEST(LatestReadsUnderFaultsKeepTheRules);
   CPPUNIT_TEST(AgedReadsUnderFaultsKeepTheRules);
   CPPUNIT_TEST(OwnReadsUnderFaultsKeepTheRules);
+  CPPUNIT_TEST(WritesAcknowledgedByMajoritiesAreNotLost);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr unsigned kSeeds = 40;
 
-  static void Explore(Freshness aFreshness)
+  static void Explore(
+    Freshness aFreshness,
+    Acknowledgement aAcknowledgement = Acknowledgement::Leader)
   {
     size_t acknowledged = 0;
     size_t reads = 0;
     size_t promotions = 0;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-      RelayWorld world(seed, aFreshness);
+      RelayWorld world(seed, aFreshness, aAcknowledgement);
       world.Run(15s);
       acknowledged += world.Acknowledged();
       reads += world.Reads();
@@ -45,6 +48,10 @@
 public:
   void LatestReadsUnderFaultsKeepTheRules() { Explore(Freshness::Latest); }
   void AgedReadsUnderFaultsKeepTheRules() { Explore(Freshness::BoundedAge); }
+  void WritesAcknowledgedByMajoritiesAreNotLost()
+  {
+    Explore(Freshness::OwnWrites, Acknowledgement::Majority);
+  }
   void OwnReadsUnderFaultsKeepTheRules() { Explore(Freshness::OwnWrites); }
 };
 
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(TestRelayGroup);
   CPPUNIT_TEST(WriteIsAcknowledgedOnceAReplicaHoldsIt);
   CPPUNIT_TEST(WriteOnReplacedPrimaryEndsInDoubt);
+  CPPUNIT_TEST(WriteWithoutReplicationIsNotAcknowledged);
   CPPUNIT_TEST(WriteWithoutReplicationIsConfirmedByAllOthers);
   CPPUNIT_TEST(WriteWithoutReplicationAndOneMemberSilentEndsInDoubt);
   CPPUNIT_TEST(WriteWhoseAnswerIsLostIsNotRepeated);
@@ -104,8 +105,19 @@
     CPPUNIT_ASSERT(isTrue);
   }
 
+  /// The primary may crash before any replica has the write.
+  void WriteWithoutReplicationIsNotAcknowledged()
+  {
+    mFake->At("a").mIsReplicating = false;
+    auto caller = mFake->Connect();
+    caller->Say("WRITE 1 x");
+    mFake->Run(1200ms);
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::OutcomeUnknown);
+  }
+
   void WriteWithoutReplicationIsConfirmedByAllOthers()
   {
+    mFake = std::make_unique<FakeUpstreams>(Acknowledgement::Leader);
     mFake->At("a").mIsReplicating = false;
     auto caller = mFake->Connect();
     caller->Say("WRITE 1 x");
@@ -118,6 +130,7 @@
 
   void WriteWithoutReplicationAndOneMemberSilentEndsInDoubt()
   {
+    mFake = std::make_unique<FakeUpstreams>(Acknowledgement::Leader);
     mFake->At("a").mIsReplicating = false;
     mFake->At("c").mIsReachable = false;
     auto caller = mFake->Connect();
