PeerServer: Roll back forwarded transactions at half of the grace time

A home that shuts down kept transactions of other instances' callers open until it exited, so that a commit could meet its end and be in doubt. They now end with those of its own callers; the next statement is told that nothing was kept. LeavingHomeRollsBackWhatStaysOpen covers it; it was written together with the call that it tests and not seen failing.

--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -231,6 +231,17 @@
   std::ranges::for_each(mSessions, [](auto* it) { it->mSend(PeerLeaving{}); });
 }
 
+void
+PeerServer::AbandonTransactions()
+{
+  std::ranges::for_each(mSessions, [](auto* it) {
+    const auto open = std::exchange(it->mTransactions, {});
+    for (const auto& [id, transaction] : open) {
+      transaction.mGroup->Abandon(transaction.mHold);
+    }
+  });
+}
+
 size_t
 PeerServer::BusyCount() const
 {
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -73,6 +73,9 @@
   /// Tells the other instances that this one is shutting down. What they send
   /// is still served.
   void Leave();
+  /// Rolls back what waits for its caller; the caller learns it with its next
+  /// statement.
+  void AbandonTransactions();
   size_t BusyCount() const;
   uint64_t ServedCount() const { return mServed; }
   void Tick();
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -348,6 +348,7 @@
   const auto elapsed = Now() - *mDrainingSince;
   if (elapsed >= mSettings.mGrace / kTransactionShare) {
     mCallers.AbortTransactions();
+    mPeerServer.AbandonTransactions();
   }
   if (elapsed < kBalancerNotice) {
     return;
--- a/Tests/LibPeer/TestForwarding.cpp
+++ b/Tests/LibPeer/TestForwarding.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(ForwarderKilledItsTransactionsAreRolledBack);
   CPPUNIT_TEST(ForwarderFrozenItsTransactionExpiresAtTheHome);
   CPPUNIT_TEST(LeavingHomeEndsItsTransactionAndGetsNothingNew);
+  CPPUNIT_TEST(LeavingHomeRollsBackWhatStaysOpen);
   CPPUNIT_TEST(AllHomesLostStatementsRunHere);
   CPPUNIT_TEST(ListsDifferStatementTakesOneHop);
   CPPUNIT_TEST(InstanceCutFromTheGroupPassesStatementsOn);
@@ -415,6 +416,23 @@
     CPPUNIT_ASSERT_EQUAL(size_t(0), mWorld->At(home).mServer->BusyCount());
   }
 
+  void LeavingHomeRollsBackWhatStaysOpen()
+  {
+    auto& instance = mWorld->Outsider();
+    const auto home = mWorld->HomeOf(instance, "READ 1");
+    const auto caller = mWorld->Connect(instance);
+    caller->Say("BEGIN");
+    caller->Say("WRITE 1 x");
+    mWorld->Run(300ms);
+    mWorld->At(home).mServer->Leave();
+    mWorld->At(home).mServer->AbandonTransactions();
+    CPPUNIT_ASSERT_EQUAL(size_t(0), OpenTransactionsAt(home));
+    caller->Say("COMMIT");
+    mWorld->Run(300ms);
+    CPPUNIT_ASSERT(AnswerFor(*caller->LastError()).mOutcome == Outcome::NotRun);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), mWorld->RunsOf("COMMIT"));
+  }
+
   void AllHomesLostStatementsRunHere()
   {
     auto& instance = mWorld->Outsider();
