LibDecision, LibPeer: Count usable connections in one place; begin a peer's call in one

Read once more: PlanHomes worked out the connections less the reserve that PlanConnections works out, and wrapped around for a limit of 0; both call UsableConnections now, which differs for limits of 0 and 1 only.

--- a/Libraries/LibDecision/ConnectionBudget.cpp
+++ b/Libraries/LibDecision/ConnectionBudget.cpp
@@ -31,12 +31,17 @@
   return { 1, std::max(each, 2U) - 1 };
 }
 
+unsigned
+UsableConnections(unsigned aLimit)
+{
+  const auto reserve = std::max(aLimit / 8, 1U);
+  return aLimit > reserve ? aLimit - reserve : 1U;
+}
+
 ConnectionPlan
 PlanConnections(const ConnectionLoad& aLoad)
 {
-  // One in eight connections stays free for instances that start.
-  const auto reserve = std::max(aLoad.mLimit / 8, 1U);
-  const auto usable = aLoad.mLimit > reserve ? aLoad.mLimit - reserve : 1U;
+  const auto usable = UsableConnections(aLoad.mLimit);
   const auto spare = usable > aLoad.mTotal ? usable - aLoad.mTotal : 0U;
   const bool hasOneEach = aLoad.mInstances > 0 && aLoad.mInstances <= usable;
   // Many want more at the same moment: what is spare must do for a quarter of
--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -49,6 +49,11 @@
   bool operator==(const ConnectionLoad&) const = default;
 };
 
+/// How many of a database's connections are planned for; one in eight is left
+/// to instances that start. Pure; any thread.
+unsigned
+UsableConnections(unsigned aLimit);
+
 /// Plans for one instance. The database's own count keeps the sum within the
 /// limit: an instance takes a part of what is spare, and always one. A reserve
 /// is left to instances that start. Where there is a connection for each
--- a/Libraries/LibDecision/HomePlan.cpp
+++ b/Libraries/LibDecision/HomePlan.cpp
@@ -1,5 +1,7 @@
 #include "LibDecision/HomePlan.h"
 
+#include "LibDecision/ConnectionBudget.h"
+
 #include <algorithm>
 #include <functional>
 #include <tuple>
@@ -80,10 +82,9 @@
       plan.mRanked.push_back(it);
     }
   }
-  const auto usable =
-    aMaxConnections - std::max(aMaxConnections / aRules.mReserveDivisor, 1U);
   plan.mHomes = std::min(homes, plan.mRanked.size());
-  plan.mAreAllHome = aInstances.size() <= usable || plan.mHomes == 0;
+  plan.mAreAllHome =
+    aInstances.size() <= UsableConnections(aMaxConnections) || plan.mHomes == 0;
   return plan;
 }
 
--- a/Libraries/LibDecision/HomePlan.h
+++ b/Libraries/LibDecision/HomePlan.h
@@ -13,9 +13,6 @@
   size_t mMinHomes = 3;
   /// Instances of each failure domain that are tried in turn.
   size_t mRanks = 3;
-  /// One in so many connections of a database is left to instances that start
-  /// and to those that reach no home.
-  unsigned mReserveDivisor = 8;
 };
 
 /// Which instances hold the connections to one group's databases. The others
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -111,6 +111,15 @@
   }
 }
 
+void
+PeerPool::Begin(Peer& aPeer, uint64_t aKey, Call aCall, PeerMessage aMessage)
+{
+  aCall.mBegan = mClock();
+  aCall.mIsSent = aPeer.mIsOpen;
+  aPeer.mCalls[aKey] = std::move(aCall);
+  Send(aPeer, std::move(aMessage));
+}
+
 uint64_t
 PeerPool::Run(const std::string& aPeer,
               ForwardStatement aStatement,
@@ -123,13 +132,11 @@
   peer.mTransactions.erase(aStatement.mTransaction);
   Call call;
   call.mOnForward = std::move(aHandler);
-  call.mBegan = now;
   call.mDeadline = now - aStatement.mAskedAgo + aStatement.mRoute.mTimeout +
                    mSettings.mAnswerSlack;
-  call.mIsSent = peer.mIsOpen;
-  peer.mCalls[aStatement.mCall] = std::move(call);
-  Send(peer, std::move(aStatement));
-  return mLastCall;
+  const auto key = aStatement.mCall;
+  Begin(peer, key, std::move(call), std::move(aStatement));
+  return key;
 }
 
 void
@@ -142,11 +149,9 @@
   aWatch.mCall = ++mLastCall;
   Call call;
   call.mOnObjects = std::move(aHandler);
-  call.mBegan = now;
   call.mDeadline = now + aWatch.mWait + mSettings.mAnswerSlack;
-  call.mIsSent = peer.mIsOpen;
-  peer.mCalls[aWatch.mCall] = std::move(call);
-  Send(peer, std::move(aWatch));
+  const auto key = aWatch.mCall;
+  Begin(peer, key, std::move(call), std::move(aWatch));
 }
 
 bool
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -128,6 +128,8 @@
   };
 
   Peer& Connected(const std::string& aPeer);
+  /// Registers a call that was given the key aKey, and sends its message.
+  void Begin(Peer& aPeer, uint64_t aKey, Call aCall, PeerMessage aMessage);
   void Open(const std::string& aName, Peer& aPeer);
   void Send(Peer& aPeer, PeerMessage aMessage);
   void OnGreeted(Peer& aPeer);
