--- /dev/null
+++ b/Meta/score-sites.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Plays the regression runs of the users' bench: the standard days of each
+# deployment. Give the folder that holds the kit's site folders and the bench,
+# and what the journal should say of the runs.
+#
+#   Meta/score-sites.sh KIT/more/system "final code" [--jobs N]
+set -euo pipefail
+if [ $# -lt 2 ]; then
+  echo "usage: Meta/score-sites.sh SITES_FOLDER WHY [--jobs N]" >&2
+  exit 2
+fi
+cd "$(dirname "$0")/.."
+folder=$1
+why=$2
+shift 2
+# The large deployment and Ramdin's have replaced the two of sites/.
+sites=(
+  large/jingshui-tpe-large.toml
+  further-grown/ramdin-lights-grown.toml
+  further/ramdin-lights.toml
+  grown/jingshui-tpe-grown.toml
+  grown/sandline-grown.toml
+)
+bench=$(find "$folder/more" -name fleetbench -type f | sort | tail -n 1)
+for site in "${sites[@]}"; do
+  "$bench" score "$folder/$site" --why "$why" "$@"
+done
