GroupView: Let a member of an earlier term confirm the primary for reads

A member that reports an earlier term has joined no later one either, so it can't be in a majority of a later primary: it confirms the primary for reads. Its log must not be empty, since a database that restarted without its log may have held a write of a later term.

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -200,6 +200,20 @@
          status->mTerm == aPrimary.mTerm;
 }
 
+bool
+GroupView::IsBehind(const ReplicationStatus& aStatus,
+                    const GroupPrimary& aPrimary)
+{
+  return aStatus.mTerm < aPrimary.mTerm && aStatus.mReceived.mOffset > 0;
+}
+
+size_t
+GroupView::NeededMembers() const
+{
+  const auto size = GroupSize();
+  return std::max<size_t>(size - MajorityOf(size), 1);
+}
+
 size_t
 GroupView::CountFollowers(const GroupPrimary& aPrimary,
                           Instant aSince,
@@ -217,11 +231,23 @@
 GroupView::IsPrimaryConfirmed(const GroupPrimary& aPrimary,
                               Instant aSince) const
 {
-  // Together with the primary they must intersect every majority.
-  const auto size = GroupSize();
-  const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
+  if (aPrimary.mTerm != mHighestTerm) {
+    return false;
+  }
+  const auto n = std::ranges::count_if(mMemberStates, [&](const auto& it) {
+    const auto& status = it.second.mStatus;
+    return it.first != aPrimary.mName && status &&
+           status->mRequestedAt >= aSince &&
+           (IsFollowing(it.first, aPrimary) || IsBehind(*status, aPrimary));
+  });
+  return static_cast<size_t>(n) >= NeededMembers();
+}
+
+bool
+GroupView::IsPrimaryFollowed(const GroupPrimary& aPrimary, Instant aSince) const
+{
   return aPrimary.mTerm == mHighestTerm &&
-         CountFollowers(aPrimary, aSince, {}) >= needed;
+         CountFollowers(aPrimary, aSince, {}) >= NeededMembers();
 }
 
 bool
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -117,10 +117,15 @@
   /// term of aPrimary.
   bool IsFollowing(const std::string& aName,
                    const GroupPrimary& aPrimary) const;
-  /// Whether enough replicas reported the term of aPrimary in answer to
-  /// requests sent at or after aSince. If so, no later primary had acknowledged
-  /// a write before aSince.
+  /// Whether enough members reported, in answer to requests sent at or after
+  /// aSince, that they are in no later term than aPrimary. If so, no later
+  /// primary had acknowledged a write before aSince. A member that has not
+  /// joined the term yet counts too, unless its log is empty: it may have
+  /// restarted without what it held.
   bool IsPrimaryConfirmed(const GroupPrimary& aPrimary, Instant aSince) const;
+  /// Whether enough replicas reported the term of aPrimary in answer to
+  /// requests sent at or after aSince to acknowledge a write.
+  bool IsPrimaryFollowed(const GroupPrimary& aPrimary, Instant aSince) const;
   /// Whether a majority holds aPosition in the term of aPrimary.
   bool IsReplicated(const GroupPrimary& aPrimary, LogPosition aPosition) const;
   /// Whether every other member reported, in answer to a request sent at or
@@ -153,6 +158,13 @@
   /// members. Otherwise a minority could pass for a majority.
   size_t GroupSize() const;
   void RecordContact(MemberState& aState, Instant aNow);
+  /// The number of other members that with the primary intersect every
+  /// majority.
+  size_t NeededMembers() const;
+  /// Whether a member is known to have joined no later term than that of
+  /// aPrimary.
+  static bool IsBehind(const ReplicationStatus& aStatus,
+                       const GroupPrimary& aPrimary);
   /// Counts the replicas that reported the term of aPrimary and at least
   /// aPosition in answer to requests sent at or after aSince.
   size_t CountFollowers(const GroupPrimary& aPrimary,
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -240,8 +240,8 @@
                          const RelayRequirements& aRequirements);
   void RefreshConnectionPlan(const std::string& aName);
   bool IsSuspected(const GroupPrimary& aPrimary) const;
-  /// Whether this instance can't run statements that another one probably can.
-  bool IsPartitioned() const;
+  /// Whether this instance can't run a statement that another one probably can.
+  bool IsPartitioned(const RelayRequest& aRequest) const;
   RelayRequirements RequirementsOf(const RelayRequest& aRequest) const;
   std::vector<RelayCandidate> Candidates(const PendingRequest& aPending) const;
   void Start(const PendingRequestPointer& aPending,
@@ -335,6 +335,9 @@
   AdaptiveInterval mEvidenceInterval;
   /// When evidence that is still missing was first requested.
   std::optional<Instant> mEvidenceMissingSince;
+  /// When a status of enough replicas in the primary's term was first requested
+  /// and did not arrive. Without it no write can be acknowledged.
+  std::optional<Instant> mFollowersMissingSince;
   Instant mFrontierNeededUntil;
   RelayCounts mCounts;
   RetryBudget mRetries;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -46,6 +46,7 @@
 {
   if (!std::exchange(mIsStandingBy, true)) {
     mEvidenceMissingSince.reset();
+    mFollowersMissingSince.reset();
     for (auto& [name, it] : mMembers) {
       it.mNextProbeAt = {};
       it.mQueuedCommands.clear();
@@ -185,11 +186,14 @@
   mEvidenceInterval.OnAnswered();
   const auto before = mView.Primary();
   mView.ObserveStatus(known, mEnvironment.mNow());
-  if (mView.Primary() &&
-      mView.IsPrimaryConfirmed(*mView.Primary(), aCall.mSentAt)) {
+  const auto primary = mView.Primary();
+  if (primary && mView.IsPrimaryConfirmed(*primary, aCall.mSentAt)) {
     mEvidenceMissingSince.reset();
   }
-  if (const auto primary = mView.Primary(); primary != before) {
+  if (primary && mView.IsPrimaryFollowed(*primary, aCall.mSentAt)) {
+    mFollowersMissingSince.reset();
+  }
+  if (primary != before) {
     Log("primary.changed",
         { { "upstream", primary ? primary->mName : "unknown" },
           { "term", std::to_string(mView.HighestTerm()) },
@@ -210,6 +214,7 @@
   mNextEvidenceAt = std::max(
     mNextEvidenceAt, now + AddJitter(mEvidenceInterval.Interval(), now));
   mEvidenceMissingSince.reset();
+  mFollowersMissingSince.reset();
 }
 
 std::vector<std::pair<std::string, std::string>>
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -10,8 +10,7 @@
 {
   RelayRequirements requirements;
   requirements.mStartedAt = aRequest.mStartedAt;
-  requirements.mNeedsPrimary = aRequest.mAccess == Access::Write ||
-                               aRequest.mMode == TransactionMode::ReadWrite;
+  requirements.mNeedsPrimary = aRequest.MayWrite();
   if (aRequest.mRoute.mFreshness != Freshness::Latest) {
     requirements.mMaxAge = aRequest.mRoute.mMaxAge;
   }
@@ -134,15 +133,16 @@
 }
 
 bool
-RelayGroup::IsPartitioned() const
+RelayGroup::IsPartitioned(const RelayRequest& aRequest) const
 {
   const auto primary = mView.Primary();
   if (!primary || IsSuspected(*primary)) {
     return mTakeover.IsPartitioned();
   }
-  return mEvidenceMissingSince &&
-         mEnvironment.mNow() - *mEvidenceMissingSince >=
-           mSettings.mMissingEvidenceTimeout;
+  const auto& missingSince =
+    aRequest.MayWrite() ? mFollowersMissingSince : mEvidenceMissingSince;
+  return missingSince && mEnvironment.mNow() - *missingSince >=
+                           mSettings.mMissingEvidenceTimeout;
 }
 
 /// Whether the primary has left a request unanswered for so long that it may be
@@ -272,15 +272,20 @@
 }
 
 /// A read must not run at a primary that was replaced before the instant whose
-/// acknowledged writes the read must include.
+/// acknowledged writes the read must include. A write, or a transaction that
+/// may write, is sent only where replicas follow that can receive it.
 bool
 RelayGroup::MayRunAt(const GroupPrimary& aPrimary,
                      const RelayRequest& aRequest) const
 {
-  const auto since = aRequest.mAccess == Access::Read
-                       ? EvidenceSince(RequirementsOf(aRequest))
-                       : mEnvironment.mNow() - mSettings.mMaxLeadershipAge;
-  return !IsSuspected(aPrimary) && mView.IsPrimaryConfirmed(aPrimary, since);
+  const bool isConfirmed =
+    aRequest.mAccess == Access::Write ||
+    mView.IsPrimaryConfirmed(aPrimary, EvidenceSince(RequirementsOf(aRequest)));
+  const bool mayBeReplicated =
+    !aRequest.MayWrite() ||
+    mView.IsPrimaryFollowed(aPrimary,
+                            mEnvironment.mNow() - mSettings.mMaxLeadershipAge);
+  return !IsSuspected(aPrimary) && isConfirmed && mayBeReplicated;
 }
 
 void
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -133,6 +133,7 @@
     return;
   }
   mEvidenceMissingSince = mEvidenceMissingSince.value_or(aNow);
+  mFollowersMissingSince = mFollowersMissingSince.value_or(aNow);
   const auto waited = OldestUnconfirmedAge(aNow);
   const auto size = mView.Members().size();
   const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
--- a/Libraries/LibRelay/RelayGroupQueue.cpp
+++ b/Libraries/LibRelay/RelayGroupQueue.cpp
@@ -105,7 +105,7 @@
   const bool waitsForReplica =
     aPending.mWaitsFor == RelayVerdict::WaitForConnection &&
     !requirements.mNeedsPrimary && requirements.mMaxAge;
-  if (IsPartitioned() && !waitsForReplica) {
+  if (IsPartitioned(request) && !waitsForReplica) {
     return request.mReceivedAt;
   }
   const auto deadline = request.mReceivedAt + request.mRoute.mTimeout;
@@ -130,7 +130,7 @@
 Error
 RelayGroup::ExpiryError(const PendingRequest& aPending) const
 {
-  if (IsPartitioned()) {
+  if (IsPartitioned(aPending.mRequest)) {
     return { aPending.mRequest.mAccess == Access::Read ? ErrorKind::TooStale
                                                        : ErrorKind::NoUpstream,
              "this instance is cut off from the group's majority" };
--- a/Libraries/LibRelay/RelayRequest.h
+++ b/Libraries/LibRelay/RelayRequest.h
@@ -55,6 +55,12 @@
   Instant mStartedAt;
   /// When this statement arrived.
   Instant mReceivedAt;
+
+  /// Whether the statement writes, or belongs to a transaction that may.
+  bool MayWrite() const
+  {
+    return mAccess == Access::Write || mMode == TransactionMode::ReadWrite;
+  }
 };
 
 /// The result of a statement.
--- a/Tests/LibDecision/TestGroupView.cpp
+++ b/Tests/LibDecision/TestGroupView.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(CommitReceivedByOneReplicaOfTwoIsReplicated);
   CPPUNIT_TEST(PrimaryThatSteppedDownIsNoReplicaOfItself);
   CPPUNIT_TEST(ReplicaOfAnotherTermIsNoEvidence);
+  CPPUNIT_TEST(MemberOfAnEarlierTermConfirmsPrimaryButFollowsNot);
+  CPPUNIT_TEST(MemberWithAnEmptyLogIsNoEvidence);
   CPPUNIT_TEST(EvidenceOlderThanRequiredDoesNotConfirmPrimary);
   CPPUNIT_TEST(FencedReplicaDoesNotConfirmUnreplicatedCommit);
   CPPUNIT_TEST(FourMembersNeedTwoReplicasToAcknowledge);
@@ -63,6 +65,30 @@
     See("c", Role::Replica, 1, { 1, 9 });
   }
 
+  /// A replica that receives nothing while its primary is replaced stays in the
+  /// earlier term: it acknowledges nothing for a later primary either.
+  void MemberOfAnEarlierTermConfirmsPrimaryButFollowsNot()
+  {
+    See("b", Role::Primary, 2, { 1, 10 }, 5ms);
+    See("c", Role::Replica, 1, { 1, 9 }, 5ms, 2);
+    const GroupPrimary next{ "b", 2 };
+    CPPUNIT_ASSERT(mView.IsPrimaryConfirmed(next, mStart + 5ms));
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(next, mStart + 6ms));
+    CPPUNIT_ASSERT(!mView.IsPrimaryFollowed(next, mStart + 5ms));
+    CPPUNIT_ASSERT(!mView.IsReplicated(next, { 1, 9 }));
+  }
+
+  /// A database that restarted without its log may have held an acknowledged
+  /// write of a later term.
+  void MemberWithAnEmptyLogIsNoEvidence()
+  {
+    mView = GroupView();
+    mView.SetMembers(Members("abc"));
+    See("b", Role::Primary, 2, { 1, 10 });
+    See("c", Role::Replica, 0, { 0, 0 });
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed({ "b", 2 }, mStart));
+  }
+
   void CommitReceivedByOneReplicaOfTwoIsReplicated()
   {
     CPPUNIT_ASSERT(mView.IsReplicated(mPrimary, { 1, 10 }));
--- a/Tests/LoadPatterns/LoadPatterns.cpp
+++ b/Tests/LoadPatterns/LoadPatterns.cpp
@@ -141,8 +141,7 @@
   pattern.mSlots = draw(1, 8);
   pattern.mInstances = draw(3, 60);
   // One connection an instance, and the reserve of an eighth.
-  pattern.mConnections =
-    std::max(pattern.mInstances * 8 / 7 + 2, draw(12, 40));
+  pattern.mConnections = std::max(pattern.mInstances * 8 / 7 + 2, draw(12, 40));
   pattern.mQueue = draw(8, 40);
   for (auto& it : pattern.mLoads) {
     it.mRate *= static_cast<double>(pattern.mSlots) / aPattern.mSlots;
--- a/Tests/LoadPatterns/LoadWorld.cpp
+++ b/Tests/LoadPatterns/LoadWorld.cpp
@@ -43,14 +43,13 @@
       return;
     }
     const std::weak_ptr weak = mEvents;
-    mWorld.Enqueue(database,
-                   { kConnectTime, [this, weak, opened, &database]() mutable {
-                      if (weak.lock()) {
-                        opened.mPosition =
-                          PositionOf(database, database.mApplied);
-                        Reply(opened);
-                      }
-                    } });
+    mWorld.Enqueue(
+      database, { kConnectTime, [this, weak, opened, &database]() mutable {
+                   if (weak.lock()) {
+                     opened.mPosition = PositionOf(database, database.mApplied);
+                     Reply(opened);
+                   }
+                 } });
   }
 
   ~Channel() override { --mWorld.Find(mDatabase).mConnections; }
@@ -257,9 +256,8 @@
   const bool isWrite =
     std::uniform_real_distribution<>(0, 1)(mRandom) < load.mWrites;
   operation->mText = isWrite ? "WRITE 1 x" : "READ 1";
-  const auto factor =
-    std::lognormal_distribution<>(-kServiceSpread * kServiceSpread / 2,
-                                  kServiceSpread)(mRandom);
+  const auto factor = std::lognormal_distribution<>(
+    -kServiceSpread * kServiceSpread / 2, kServiceSpread)(mRandom);
   operation->mServiceTime = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double, std::milli>(load.mServiceTime) * factor);
   Schedule(load.mDeadline, [this, operation] {
@@ -424,8 +422,8 @@
 void
 LoadWorld::Replicate()
 {
-  const auto& primary = *std::ranges::max_element(
-    mDatabases, {}, [](const auto& it) {
+  const auto& primary =
+    *std::ranges::max_element(mDatabases, {}, [](const auto& it) {
       return std::pair(it.mRole == Role::Primary, it.mTerm);
     });
   const auto lag = IsFault(mNow) ? mPattern.mFaultLag : mPattern.mLag;
@@ -438,8 +436,7 @@
       it.mTerm = primary.mTerm;
       it.mLog = primary.mLog;
     }
-    while (it.mApplied < it.mLog.size() &&
-           it.mLog[it.mApplied] + lag <= mNow) {
+    while (it.mApplied < it.mLog.size() && it.mLog[it.mApplied] + lag <= mNow) {
       ++it.mApplied;
     }
   }
@@ -498,10 +495,10 @@
   const auto busiest =
     std::ranges::max_element(mDatabases, {}, &Database::mBusyTime);
   const auto span = mPattern.mFaultUntil - mPattern.mFaultFrom;
-  mResult.mSlotUse =
-    span > 0ms ? std::chrono::duration<double>(busiest->mBusyTime) /
-                   (span * mPattern.mSlots)
-               : 0;
+  mResult.mSlotUse = span > 0ms
+                       ? std::chrono::duration<double>(busiest->mBusyTime) /
+                           (span * mPattern.mSlots)
+                       : 0;
   return mResult;
 }
 
--- a/Tests/LoadPatterns/TestLoadPatterns.cpp
+++ b/Tests/LoadPatterns/TestLoadPatterns.cpp
@@ -15,12 +15,14 @@
   CPPUNIT_TEST(UrgentStatementsAtAnOverloadedPrimaryGoFirst);
   CPPUNIT_TEST(OverloadedPrimarySpendsItsSlotsOnStatementsInTime);
   CPPUNIT_TEST(FlashCrowdIsServedOnceItHasPassed);
+  CPPUNIT_TEST(ReadsAreServedWhileTheOnlyReplicaIsDeaf);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr unsigned kSeeds = 8;
   /// The routes of the patterns, in order.
   static constexpr size_t kUrgent = 0;
   static constexpr size_t kOwn = 1;
+  static constexpr size_t kAged = 2;
 
   static std::vector<LoadResult> Play(const std::string& aName)
   {
@@ -40,8 +42,7 @@
                            aResults.end(),
                            0.0,
                            [=](double aSum, const auto& it) {
-                             return aSum +
-                                    (it.mFaultRoutes[aRoute].*aShare)();
+                             return aSum + (it.mFaultRoutes[aRoute].*aShare)();
                            }) /
            static_cast<double>(aResults.size());
   }
@@ -61,10 +62,10 @@
   void UrgentStatementsAtAnOverloadedPrimaryGoFirst()
   {
     const auto results = Play("replicas-apply-late");
-    CPPUNIT_ASSERT(
-      FaultMean(results, kUrgent, &RouteResult::InTimeShare) >= 0.75);
-    CPPUNIT_ASSERT(
-      FaultMean(results, kUrgent, &RouteResult::ServedShare) >= 0.99);
+    CPPUNIT_ASSERT(FaultMean(results, kUrgent, &RouteResult::InTimeShare) >=
+                   0.75);
+    CPPUNIT_ASSERT(FaultMean(results, kUrgent, &RouteResult::ServedShare) >=
+                   0.99);
   }
 
   /// The slots suffice for four fifths of the statements; at least half of them
@@ -82,8 +83,18 @@
   {
     const auto results = Play("flash-crowd");
     CPPUNIT_ASSERT(FaultMean(results, kOwn, &RouteResult::ServedShare) >= 0.9);
-    CPPUNIT_ASSERT(
-      FaultMean(results, kUrgent, &RouteResult::ServedShare) >= 0.99);
+    CPPUNIT_ASSERT(FaultMean(results, kUrgent, &RouteResult::ServedShare) >=
+                   0.99);
+  }
+
+  /// The primary is lost 0.5 s into a fault of 5 s, and the next one serves 1.4
+  /// s later, which leaves 3.6 s of 5: 0.72 of the reads. Writes can't be
+  /// acknowledged.
+  void ReadsAreServedWhileTheOnlyReplicaIsDeaf()
+  {
+    const auto results = Play("failover-with-deaf-replica");
+    CPPUNIT_ASSERT(FaultMean(results, kAged, &RouteResult::ServedShare) >=
+                   0.72);
   }
 };
 
--- a/Tests/LoadPatterns/main.cpp
+++ b/Tests/LoadPatterns/main.cpp
@@ -25,8 +25,7 @@
 {
   unsigned first = 0;
   unsigned last = 0;
-  if (std::sscanf(aText.c_str(), "%u-%u", &first, &last) != 2 ||
-      first > last) {
+  if (std::sscanf(aText.c_str(), "%u-%u", &first, &last) != 2 || first > last) {
     std::cerr << "load-patterns: --seeds wants A-B, not " << aText << "\n";
     std::exit(2);
   }
