LibRelay: Tell a refusal for the expected wait from one for lack of a connection

Both had the reason 'no connection was free in time' in the log, though the first is decided before the deadline, from the position in the queue.

--- a/Libraries/LibRelay/RelayGroupQueue.cpp
+++ b/Libraries/LibRelay/RelayGroupQueue.cpp
@@ -145,7 +145,10 @@
     case RelayVerdict::WaitForPrimary:
       return { ErrorKind::NoUpstream, "no primary was known in time" };
     default:
-      return { ErrorKind::QueueFull, "no connection was free in time" };
+      return { ErrorKind::QueueFull,
+               aPending.mExpectedStart
+                 ? "the expected wait is longer than the time left"
+                 : "no connection was free in time" };
   }
 }
 
