--- a/Libraries/LibDecision/ConcurrencyLimit.cpp
+++ b/Libraries/LibDecision/ConcurrencyLimit.cpp
@@ -25,14 +25,11 @@
 void
 ConcurrencyLimit::OnAnswered(Duration aAnswerTime, unsigned aRunning)
 {
-  if (!mAnswerTime) {
-    mAnswerTime = aAnswerTime;
-    mShortestAnswerTime = aAnswerTime;
-  }
-  *mAnswerTime += (aAnswerTime - *mAnswerTime) / kSmoothing;
-  mShortestAnswerTime = std::min(mShortestAnswerTime, *mAnswerTime);
+  mAnswerTime += (aAnswerTime - mAnswerTime) / kSmoothing;
+  auto& shortest = mShortestAnswerTime;
+  shortest = std::min(shortest.value_or(mAnswerTime), mAnswerTime);
   if (mLimit == 1) {
-    mShortestAnswerTime += (*mAnswerTime - mShortestAnswerTime) / kShortestRise;
+    *shortest += (mAnswerTime - *shortest) / kShortestRise;
   }
   if (++mAnswers >= mLimit) {
     mAnswers = 0;
@@ -43,11 +40,11 @@
 void
 ConcurrencyLimit::Adapt(unsigned aRunning)
 {
-  if (*mAnswerTime > mShortestAnswerTime * kQueueingFactor) {
+  const auto queueing = *mShortestAnswerTime * kQueueingFactor;
+  if (mAnswerTime > queueing) {
     mLimit -= std::min(mLimit - 1, std::max(mLimit / kDecreaseDivisor, 1U));
   } else if (aRunning >= mLimit &&
-             *mAnswerTime * kIdlePart.den <
-               mShortestAnswerTime * kQueueingFactor * kIdlePart.num) {
+             mAnswerTime * kIdlePart.den < queueing * kIdlePart.num) {
     mLimit = std::min(mLimit + 1, kMaxLimit);
   }
 }
--- a/Libraries/LibDecision/ConcurrencyLimit.h
+++ b/Libraries/LibDecision/ConcurrencyLimit.h
@@ -25,8 +25,8 @@
 
   /// The number of statements that may run at the same time; at least 1.
   unsigned Limit() const { return mLimit; }
-  /// The smoothed answer time; a usual one before the first answer.
-  Duration AnswerTime() const { return mAnswerTime.value_or(kUsualAnswerTime); }
+  /// The smoothed answer time.
+  Duration AnswerTime() const { return mAnswerTime; }
 
 private:
   void Adapt(unsigned aRunning);
@@ -36,11 +36,13 @@
   static constexpr Duration kUsualAnswerTime = std::chrono::milliseconds(10);
 
   unsigned mLimit = kInitialLimit;
-  std::optional<Duration> mAnswerTime;
-  /// The shortest smoothed answer time. It rises slowly towards the present one
-  /// while only one statement may run, since no other statement of this
-  /// instance then delays the answers.
-  Duration mShortestAnswerTime{};
+  /// Starts at a usual value, so that a slow first answer, as after a restart,
+  /// does not stand for all.
+  Duration mAnswerTime = kUsualAnswerTime;
+  /// The shortest smoothed answer time; empty before the first answer. It rises
+  /// slowly towards the present one while only one statement may run, since no
+  /// other statement of this instance then delays the answers.
+  std::optional<Duration> mShortestAnswerTime;
   /// Answers since the limit was last adapted.
   unsigned mAnswers = 0;
 };
