--- a/Libraries/LibRelay/RelayGroupQueue.cpp
+++ b/Libraries/LibRelay/RelayGroupQueue.cpp
@@ -97,6 +97,9 @@
          mEvidenceInterval.IsCongested();
 }
 
+/// When a waiting request is refused. A request that is known to be unservable
+/// is due at once. While this instance has no connection to offer, the target
+/// latency is the limit, since a retry may reach an instance that has one.
 Instant
 RelayGroup::DeadlineOf(const PendingRequest& aPending) const
 {
