--- a/Libraries/LibDecision/RelayRouting.h
+++ b/Libraries/LibDecision/RelayRouting.h
@@ -51,8 +51,8 @@
   size_t mIndex = 0;
   /// The position that the replica must have applied.
   std::optional<LogPosition> mMinPosition;
-  /// Set when the primary was chosen. Its result must be confirmed before it is
-  /// returned.
+  /// Set when the primary was chosen, also with WaitForConnection. Its result
+  /// must be confirmed before it is returned.
   std::optional<GroupPrimary> mPrimary;
 };
 
