Review: Show requests that a planned stop cuts off

An instance that is stopped goes on taking requests and exits 0.5 s before the end of the grace time whatever is in flight. A database that starts again is a replica in the stand-ins if another one was promoted.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 # held, 2 if the case couldn't run. The instances end with the driver.
 cd "$(dirname "$0")" || exit 2
 rm -f log-*.txt record.txt
-timeout --signal=KILL 115 ../../target/review/case-dash
+timeout --signal=KILL 115 ../../target/review/case-drain
 result=$?
 [ "$result" -le 1 ] && exit "$result"
 exit 2
--- a/review/standins/Database.cpp
+++ b/review/standins/Database.cpp
@@ -78,9 +78,19 @@
   mIsRunning = true;
   mBorn = QDateTime::currentMSecsSinceEpoch();
   mFencedTerm = 0;
+  ReviseRole();
   mServer.listen(QHostAddress::LocalHost, mPort);
 }
 
+void
+Database::ReviseRole()
+{
+  if (mIsPrimary && mGroup.Leader() != this) {
+    mIsPrimary = false;
+    mApplied = mLog.size();
+  }
+}
+
 void
 Database::GoDark()
 {
@@ -93,6 +103,7 @@
   mIsDark = false;
   mBorn = QDateTime::currentMSecsSinceEpoch();
   mFencedTerm = 0;
+  ReviseRole();
   for (const auto& [socket, it] : mConnections) {
     it->mIsDead = true;
     if (!it->mLines.empty() || !it->mIsStarted) {
@@ -127,6 +138,7 @@
   qsizetype end = 0;
   while ((end = aConnection->mBuffer.indexOf("\r\n")) >= 0) {
     aConnection->mLines.push_back(aConnection->mBuffer.left(end));
+    mGroup.mArrived.insert(aConnection->mLines.back().split(' ').value(1));
     aConnection->mBuffer.remove(0, end + 2);
   }
   if (aConnection->mIsDead) {
@@ -194,11 +206,6 @@
   const auto id = words.value(1);
   const auto text = aLine.mid(7 + id.size());
   auto answer = RunText(aConnection, id, text);
-  static const QList<QByteArray> kTerse{ "SET", "PARSE", "CLOSE", "DISCARD" };
-  if (mGroup.mIsTerse && kTerse.contains(text.split(' ')[0])) {
-    return answer + "READY " + (aConnection.mIsInTransaction ? "T" : "I") +
-           " -\r\n";
-  }
   return answer + Ready(aConnection);
 }
 
--- a/review/standins/Database.h
+++ b/review/standins/Database.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace review {
@@ -92,6 +93,8 @@
   };
   using ConnectionPointer = std::shared_ptr<Connection>;
 
+  /// Starts as a replica if another database was promoted meanwhile.
+  void ReviseRole();
   void Accept();
   void ReadInput(QTcpSocket* aSocket, const ConnectionPointer& aConnection);
   void RunNext(QTcpSocket* aSocket, const ConnectionPointer& aConnection);
@@ -129,11 +132,10 @@
   int mLagMs = 0;
   int mPromoteMs = 0;
   int mWorkMs = 5;
-  /// Whether SET, PARSE, CLOSE and DISCARD are answered with the position "-",
-  /// as PROTOCOL.md shows it for PARSE.
-  bool mIsTerse = false;
   std::vector<std::unique_ptr<Database>> mDatabases;
   std::vector<Run> mRuns;
+  /// The ids of all statements that reached a database.
+  std::set<QByteArray> mArrived;
   /// Called when the role of a database changes.
   std::function<void(Database&)> mOnRoleChanged;
 
