LibPeer: Follow a store that was restored from an older copy

Cause: a revision was taken for a number that only grows. Mirrors ignored lists and changes with a lower revision; a watch continued from a number that the store had assigned again and missed the changes below it; what the store lost was never deleted.

Change: a revision is a pair of era and number (StoreRevision), ordered by the era first. The store client reads the era from each answer. A batch of another era does not continue a watch: ObjectWatcher lists again, also when a peer's answer is the first to tell of the new era, and a mirror moves to a new era only by a list. An instance that the store refuses lists at a watcher. SharedObjectStore no longer marks a mirror as not from the store without recording the source.

--- a/Libraries/LibDecision/FleetView.h
+++ b/Libraries/LibDecision/FleetView.h
@@ -2,6 +2,7 @@
 
 #include "LibDecision/Instant.h"
 #include "LibDecision/Placement.h"
+#include "LibDecision/StoreRevision.h"
 
 #include <cstdint>
 #include <map>
@@ -14,7 +15,7 @@
 {
   InstanceInfo mInstance;
   /// Changes with each announcement.
-  int64_t mRevision = 0;
+  StoreRevision mRevision;
 
   bool operator==(const FleetEntry&) const = default;
 };
@@ -56,7 +57,7 @@
 private:
   struct Announcement
   {
-    int64_t mRevision = 0;
+    StoreRevision mRevision;
     Instant mChangedAt;
   };
 
--- a/Libraries/LibDecision/PromotionLease.cpp
+++ b/Libraries/LibDecision/PromotionLease.cpp
@@ -24,7 +24,7 @@
 {
   ++mSequence;
   if (!aStored) {
-    return WriteLease{ OwnRecord(), 0 };
+    return WriteLease{ OwnRecord(), {} };
   }
   const auto& record = aStored->mRecord;
   const bool isOwn =
@@ -41,13 +41,13 @@
 }
 
 void
-PromotionLease::OnAcquired(int64_t aRevision, Instant aSentAt)
+PromotionLease::OnAcquired(const StoreRevision& aRevision, Instant aSentAt)
 {
   mOwnRevision = aRevision;
   mSeenRevision = aRevision;
   mFirstSeenAt = aSentAt;
   mLastOrderAt = aSentAt;
-  mGrant = LeaseGrant{ static_cast<uint64_t>(aRevision),
+  mGrant = LeaseGrant{ static_cast<uint64_t>(aRevision.mNumber),
                        aSentAt + mSettings.mValidity };
 }
 
--- a/Libraries/LibDecision/PromotionLease.h
+++ b/Libraries/LibDecision/PromotionLease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/Instant.h"
+#include "LibDecision/StoreRevision.h"
 
 #include <cstdint>
 #include <optional>
@@ -30,7 +31,7 @@
 struct StoredLease
 {
   LeaseRecord mRecord;
-  int64_t mRevision = 0;
+  StoreRevision mRevision;
 
   bool operator==(const StoredLease&) const = default;
 };
@@ -52,7 +53,7 @@
 {
   LeaseRecord mRecord;
   /// The revision to replace; 0 to create the object.
-  int64_t mExpectedRevision = 0;
+  StoreRevision mExpectedRevision;
 
   bool operator==(const WriteLease&) const = default;
 };
@@ -92,7 +93,7 @@
 
   /// Handles the success of the write of WriteLease that was sent at aSentAt
   /// and got aRevision.
-  void OnAcquired(int64_t aRevision, Instant aSentAt);
+  void OnAcquired(const StoreRevision& aRevision, Instant aSentAt);
 
   /// Returns the grant while it is valid.
   std::optional<LeaseGrant> Grant(Instant aNow) const;
@@ -111,10 +112,10 @@
   std::string mIncarnation;
   LeaseSettings mSettings;
   uint64_t mSequence = 0;
-  int64_t mSeenRevision = 0;
+  StoreRevision mSeenRevision;
   Instant mFirstSeenAt;
   std::optional<LeaseGrant> mGrant;
-  int64_t mOwnRevision = 0;
+  StoreRevision mOwnRevision;
   Instant mLastOrderAt;
 };
 
--- a/Libraries/LibPeer/ObjectMirror.cpp
+++ b/Libraries/LibPeer/ObjectMirror.cpp
@@ -5,7 +5,7 @@
 namespace papayaline {
 
 void
-ObjectMirror::AdvanceTo(int64_t aRevision, Instant aNow)
+ObjectMirror::AdvanceTo(const StoreRevision& aRevision, Instant aNow)
 {
   mRevision = std::max(mRevision, aRevision);
   mLastUpdateSucceeded = true;
@@ -13,7 +13,7 @@
 }
 
 void
-ObjectMirror::Delete(const QString& aName, int64_t aRevision)
+ObjectMirror::Delete(const QString& aName, const StoreRevision& aRevision)
 {
   if (mObjects.erase(aName) == 0) {
     return;
@@ -31,9 +31,13 @@
   if (aBatch.mStoreRevision < mRevision) {
     return;
   }
-  // The first list does not contain objects that were deleted before it.
-  if (mRevision == 0) {
-    mCompactedRevision = aBatch.mStoreRevision - 1;
+  // The first list of an era does not contain objects that were deleted before
+  // it.
+  const auto era = aBatch.mStoreRevision.mEra;
+  if (mRevision == StoreRevision{} || mRevision.mEra != era) {
+    mObjects.clear();
+    mTombstones.clear();
+    mCompactedRevision = { era, aBatch.mStoreRevision.mNumber - 1 };
   }
   std::vector<QString> removed;
   for (const auto& [name, it] : mObjects) {
@@ -54,6 +58,9 @@
 void
 ObjectMirror::ApplyChanges(const ObjectBatch& aBatch, Instant aNow)
 {
+  if (aBatch.mStoreRevision.mEra != mRevision.mEra) {
+    return;
+  }
   for (const auto& it : aBatch.mObjects) {
     if (it.mIsDeleted) {
       Delete(it.mName, aBatch.mStoreRevision);
@@ -74,19 +81,24 @@
 }
 
 std::optional<ObjectBatch>
-ObjectMirror::ChangesAfter(int64_t aRevision) const
+ObjectMirror::ChangesAfter(const StoreRevision& aRevision) const
 {
-  if (aRevision != 0 && aRevision < mCompactedRevision) {
-    return std::nullopt;
-  }
+  const bool isFromStart = aRevision == StoreRevision{};
   ObjectBatch batch;
   batch.mStoreRevision = std::max(aRevision, mRevision);
+  if (!isFromStart && aRevision.mEra < mRevision.mEra) {
+    return batch;
+  }
+  if (!isFromStart &&
+      (aRevision.mEra > mRevision.mEra || aRevision < mCompactedRevision)) {
+    return std::nullopt;
+  }
   if (aRevision >= mRevision) {
     return batch;
   }
   for (auto it = mTombstones.upper_bound(aRevision); it != mTombstones.end();
        ++it) {
-    if (aRevision != 0 && !mObjects.contains(it->second)) {
+    if (!isFromStart && !mObjects.contains(it->second)) {
       StoredObject object;
       object.mName = it->second;
       object.mRevision = it->first;
--- a/Libraries/LibPeer/ObjectMirror.h
+++ b/Libraries/LibPeer/ObjectMirror.h
@@ -9,7 +9,8 @@
 
 /// This instance's copy of the store's objects of one kind. Other instances
 /// watch the copy, which saves calls to the store. The revision never
-/// decreases. Thread safety: one thread.
+/// decreases; only a list moves it to a later era of the store. Thread safety:
+/// one thread.
 class ObjectMirror
 {
 public:
@@ -19,7 +20,8 @@
   /// Replaces the objects by a complete list. Objects that are not in the list
   /// count as deleted. A list older than the mirror is ignored.
   void ApplyList(const ObjectBatch& aBatch, Instant aNow);
-  /// Applies changes that follow the mirror's revision.
+  /// Applies changes that follow the mirror's revision. Changes of another era
+  /// don't, and are ignored.
   void ApplyChanges(const ObjectBatch& aBatch, Instant aNow);
   /// Records that the store, or the instance watched in its place, did not
   /// answer.
@@ -27,22 +29,24 @@
 
   /// Whether the last update succeeded and is no older than aMaxAge.
   bool IsCurrent(Instant aNow, Duration aMaxAge) const;
-  int64_t Revision() const { return mRevision; }
+  StoreRevision Revision() const { return mRevision; }
   /// The changes after a revision, or nothing when tombstones after it have
-  /// been discarded. All objects count as changed after revision 0.
-  std::optional<ObjectBatch> ChangesAfter(int64_t aRevision) const;
+  /// been discarded, or when it belongs to a later era than the mirror. All
+  /// objects count as changed after revision 0. The batch after a revision of
+  /// an earlier era is empty: its era tells that the objects have to be listed.
+  std::optional<ObjectBatch> ChangesAfter(const StoreRevision& aRevision) const;
 
 private:
-  void AdvanceTo(int64_t aRevision, Instant aNow);
-  void Delete(const QString& aName, int64_t aRevision);
+  void AdvanceTo(const StoreRevision& aRevision, Instant aNow);
+  void Delete(const QString& aName, const StoreRevision& aRevision);
 
   std::map<QString, StoredObject> mObjects;
   /// Names of deleted objects, by the store revision of the update that deleted
   /// them here.
-  std::multimap<int64_t, QString> mTombstones;
+  std::multimap<StoreRevision, QString> mTombstones;
   /// Tombstones up to this revision have been discarded.
-  int64_t mCompactedRevision = 0;
-  int64_t mRevision = 0;
+  StoreRevision mCompactedRevision;
+  StoreRevision mRevision;
   bool mLastUpdateSucceeded = false;
   Instant mConfirmedAt;
 };
--- a/Libraries/LibPeer/PeerMessages.cpp
+++ b/Libraries/LibPeer/PeerMessages.cpp
@@ -6,6 +6,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QtEndian>
+#include <algorithm>
 #include <array>
 
 namespace papayaline {
@@ -74,6 +75,7 @@
       aRead();
     }
   }
+  bool IsAtEnd() const { return mNext >= mArray.size(); }
   void MergeValidity(const ArrayReader& aInner) { mIsValid &= aInner.mIsValid; }
   void Reject() { mIsValid = false; }
 
@@ -301,14 +303,35 @@
   return aReader.IsValid();
 }
 
+QJsonValue
+FromRevisionNumber(const StoreRevision& aRevision)
+{
+  return static_cast<qint64>(aRevision.mNumber);
+}
+
+StoreRevision
+ReadRevisionNumber(ArrayReader& aReader)
+{
+  return { 0, static_cast<int64_t>(aReader.Number()) };
+}
+
+/// Reads the era at the end of a message. Instances of an older version send
+/// none.
+uint64_t
+ReadLastEra(ArrayReader& aReader)
+{
+  return aReader.IsAtEnd() ? 0 : aReader.Number();
+}
+
 QJsonArray
 ToArray(const WatchObjects& aMessage)
 {
   return { FromNumber(aMessage.mCall),
            FromText(aMessage.mKind),
-           static_cast<qint64>(aMessage.mAfterRevision),
+           FromRevisionNumber(aMessage.mAfterRevision),
            FromTime(aMessage.mMaxWait),
-           FromTime(aMessage.mMaxAge) };
+           FromTime(aMessage.mMaxAge),
+           FromNumber(aMessage.mAfterRevision.mEra) };
 }
 
 bool
@@ -316,9 +339,10 @@
 {
   aMessage.mCall = aReader.Number();
   aMessage.mKind = aReader.Text();
-  aMessage.mAfterRevision = static_cast<int64_t>(aReader.Number());
+  aMessage.mAfterRevision = ReadRevisionNumber(aReader);
   aMessage.mMaxWait = aReader.Time();
   aMessage.mMaxAge = aReader.Time();
+  aMessage.mAfterRevision.mEra = ReadLastEra(aReader);
   return aReader.IsValid();
 }
 
@@ -327,15 +351,14 @@
 {
   QJsonArray objects;
   for (const auto& it : aMessage.mBatch.mObjects) {
-    objects.append(QJsonArray{ it.mName,
-                               static_cast<qint64>(it.mRevision),
-                               it.mIsDeleted,
-                               it.mContent });
+    objects.append(QJsonArray{
+      it.mName, FromRevisionNumber(it.mRevision), it.mIsDeleted, it.mContent });
   }
   return { FromNumber(aMessage.mCall),
            aMessage.mIsUnavailable,
-           static_cast<qint64>(aMessage.mBatch.mStoreRevision),
-           objects };
+           FromRevisionNumber(aMessage.mBatch.mStoreRevision),
+           objects,
+           FromNumber(aMessage.mBatch.mStoreRevision.mEra) };
 }
 
 bool
@@ -343,19 +366,24 @@
 {
   aMessage.mCall = aReader.Number();
   aMessage.mIsUnavailable = aReader.Flag();
-  aMessage.mBatch.mStoreRevision = static_cast<int64_t>(aReader.Number());
+  auto& batch = aMessage.mBatch;
+  batch.mStoreRevision = ReadRevisionNumber(aReader);
   auto objects = aReader.Array();
   objects.ForEachRemaining([&] {
     auto fields = objects.Array();
     StoredObject object;
     object.mName = fields.Any().toString();
-    object.mRevision = static_cast<int64_t>(fields.Number());
+    object.mRevision = ReadRevisionNumber(fields);
     object.mIsDeleted = fields.Flag();
     object.mContent = fields.Any();
     objects.MergeValidity(fields);
-    aMessage.mBatch.mObjects.push_back(object);
+    batch.mObjects.push_back(object);
   });
   aReader.MergeValidity(objects);
+  batch.mStoreRevision.mEra = ReadLastEra(aReader);
+  std::ranges::for_each(batch.mObjects, [&](auto& it) {
+    it.mRevision.mEra = batch.mStoreRevision.mEra;
+  });
   return aReader.IsValid();
 }
 
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -95,7 +95,7 @@
 {
   uint64_t mCall = 0;
   std::string mKind;
-  int64_t mAfterRevision = 0;
+  StoreRevision mAfterRevision;
   Milliseconds mMaxWait{ 0 };
   /// The maximum age of the answer, counted from when the store confirmed it.
   Milliseconds mMaxAge{ 0 };
--- a/Libraries/LibPeer/SharedObjectStore.cpp
+++ b/Libraries/LibPeer/SharedObjectStore.cpp
@@ -28,6 +28,15 @@
 
 constexpr const char kStoreSource[] = "store";
 
+/// Whether an answer to a watch need not wait for further changes.
+bool
+IsFinal(const ObjectsAnswer& aAnswer, const WatchObjects& aWatch)
+{
+  const auto& batch = aAnswer.mBatch;
+  return aAnswer.mIsUnavailable || !batch.mObjects.empty() ||
+         batch.mStoreRevision.mEra != aWatch.mAfterRevision.mEra;
+}
+
 }
 
 SharedObjectStore::SharedObjectStore(ObjectStore& aStore,
@@ -54,56 +63,66 @@
 {
   mStore.List(aKind, [=, this](const Result<ObjectBatch>& aBatch) {
     auto& kind = mKinds[aKind];
-    if (aBatch.IsError()) {
-      kind.mMirror.NoteUpdateFailure();
-    } else {
+    if (!aBatch.IsError()) {
       kind.mMirror.ApplyList(aBatch.Value(), mClock());
+      AnswerPendingWatches(kind);
+      aHandler(aBatch);
+      return;
     }
+    kind.mMirror.NoteUpdateFailure();
+    mStoreSkippedUntil = mClock() + kSkipTime;
     AnswerPendingWatches(kind);
-    aHandler(aBatch);
+    ListFrom(aKind, SourcesByPreference(), kMaxAge, Era(), aHandler, [=] {
+      aHandler(aBatch);
+    });
   });
 }
 
 void
 SharedObjectStore::ListStale(const QString& aKind, BatchHandler aHandler)
 {
-  auto sources = UsableSources();
-  std::ranges::reverse(sources);
-  ListFrom(aKind, std::move(sources), aHandler);
+  const auto listAtStore = [=, this] {
+    mStore.ListStale(aKind, [=, this](const Result<ObjectBatch>& aBatch) {
+      if (!aBatch.IsError()) {
+        SetSource(aKind, kStoreSource);
+        mKinds[aKind].mMirror.ApplyList(aBatch.Value(), mClock());
+      }
+      aHandler(aBatch);
+    });
+  };
+  ListFrom(
+    aKind, SourcesByPreference(), kMaxStaleAge, 0, aHandler, listAtStore);
 }
 
-/// Tries the sources from the last to the first, then the store.
 void
 SharedObjectStore::ListFrom(const QString& aKind,
                             std::vector<std::string> aSources,
-                            const BatchHandler& aHandler)
+                            Milliseconds aMaxAge,
+                            uint64_t aMinEra,
+                            const BatchHandler& aHandler,
+                            const std::function<void()>& aOnUnavailable)
 {
   while (!aSources.empty() && !mPeers.IsUsable(aSources.back())) {
     aSources.pop_back();
   }
   if (aSources.empty()) {
-    mStore.ListStale(aKind, [=, this](const Result<ObjectBatch>& aBatch) {
-      if (!aBatch.IsError()) {
-        auto& kind = mKinds[aKind];
-        kind.mIsFromStore = true;
-        kind.mMirror.ApplyList(aBatch.Value(), mClock());
-      }
-      aHandler(aBatch);
-    });
+    aOnUnavailable();
     return;
   }
   const auto source = aSources.back();
   aSources.pop_back();
   WatchObjects list;
   list.mKind = aKind.toStdString();
-  list.mMaxAge = kMaxStaleAge;
+  list.mMaxAge = aMaxAge;
   mPeers.Watch(source, list, [=, this](const ObjectsAnswer& aAnswer) {
-    if (aAnswer.mIsUnavailable) {
-      ListFrom(aKind, aSources, aHandler);
+    const auto& batch = aAnswer.mBatch;
+    mPeerEra = std::max(mPeerEra, batch.mStoreRevision.mEra);
+    if (aAnswer.mIsUnavailable || batch.mStoreRevision.mEra < aMinEra) {
+      ListFrom(aKind, aSources, aMaxAge, aMinEra, aHandler, aOnUnavailable);
       return;
     }
-    mKinds[aKind].mIsFromStore = false;
-    aHandler(aAnswer.mBatch);
+    SetSource(aKind, source);
+    aHandler(batch);
   });
 }
 
@@ -118,15 +137,16 @@
 void
 SharedObjectStore::Put(const QString& aKind,
                        const QString& aName,
-                       int64_t aRevision,
+                       const StoreRevision& aRevision,
                        const QJsonValue& aContent,
                        ObjectHandler aHandler)
 {
   mStore.Put(aKind, aName, aRevision, aContent, std::move(aHandler));
 }
 
+/// The usable sources, the most preferred one last.
 std::vector<std::string>
-SharedObjectStore::UsableSources() const
+SharedObjectStore::SourcesByPreference() const
 {
   const auto now = mClock();
   std::vector<std::string> sources;
@@ -141,24 +161,23 @@
       sources.push_back(it.mName);
     }
   }
+  std::ranges::reverse(sources);
   return sources;
 }
 
 void
 SharedObjectStore::Watch(const QString& aKind,
-                         int64_t aAfter,
+                         const StoreRevision& aAfter,
                          int aWaitMs,
                          BatchHandler aHandler)
 {
-  auto sources = UsableSources();
-  std::ranges::reverse(sources);
-  WatchFrom(aKind, aAfter, aWaitMs, std::move(sources), aHandler);
+  WatchFrom(aKind, aAfter, aWaitMs, SourcesByPreference(), aHandler);
 }
 
 /// Tries the sources from the last to the first, then the store.
 void
 SharedObjectStore::WatchFrom(const QString& aKind,
-                             int64_t aAfter,
+                             const StoreRevision& aAfter,
                              int aWaitMs,
                              std::vector<std::string> aSources,
                              const BatchHandler& aHandler)
@@ -179,7 +198,9 @@
   watch.mMaxWait = Milliseconds(std::min(aWaitMs, kPeerWaitMs));
   watch.mMaxAge = kMaxAge;
   mPeers.Watch(source, watch, [=, this](const ObjectsAnswer& aAnswer) {
-    if (aAnswer.mIsUnavailable) {
+    const auto era = aAnswer.mBatch.mStoreRevision.mEra;
+    mPeerEra = std::max(mPeerEra, era);
+    if (aAnswer.mIsUnavailable || era < Era()) {
       mSkippedUntil[source] = mClock() + kSkipTime;
       WatchFrom(aKind, aAfter, aWaitMs, aSources, aHandler);
       return;
@@ -191,7 +212,7 @@
 
 void
 SharedObjectStore::WatchStore(const QString& aKind,
-                              int64_t aAfter,
+                              const StoreRevision& aAfter,
                               int aWaitMs,
                               const BatchHandler& aHandler)
 {
@@ -224,7 +245,7 @@
   mLog("watch.source",
        { { "kind", aKind.toStdString() },
          { "source", aSource },
-         { "revision", std::to_string(kind.mMirror.Revision()) } });
+         { "revision", kind.mMirror.Revision().ToString() } });
 }
 
 ObjectsAnswer
@@ -248,7 +269,7 @@
 {
   auto& kind = mKinds[QString::fromStdString(aWatch.mKind)];
   const auto answer = MakeAnswer(kind, aWatch);
-  if (answer.mIsUnavailable || !answer.mBatch.mObjects.empty()) {
+  if (IsFinal(answer, aWatch)) {
     aRespond(answer);
     return;
   }
@@ -265,8 +286,7 @@
   const auto pending = std::exchange(aKind.mPendingWatches, {});
   for (const auto& it : pending) {
     const auto answer = MakeAnswer(aKind, it.mWatch);
-    if (answer.mIsUnavailable || !answer.mBatch.mObjects.empty() ||
-        now >= it.mDeadline) {
+    if (IsFinal(answer, it.mWatch) || now >= it.mDeadline) {
       it.mRespond(answer);
     } else {
       aKind.mPendingWatches.push_back(it);
--- a/Libraries/LibPeer/SharedObjectStore.h
+++ b/Libraries/LibPeer/SharedObjectStore.h
@@ -4,6 +4,8 @@
 #include "LibPeer/ObjectMirror.h"
 #include "LibPeer/PeerPool.h"
 
+#include <algorithm>
+
 namespace papayaline {
 
 /// The platform's store with watches and stale lists shared between instances:
@@ -25,6 +27,10 @@
   /// Sets the live instances, including this one.
   void SetFleet(const std::vector<InstanceInfo>& aInstances);
 
+  /// Includes the eras in answers of other instances.
+  uint64_t Era() const override { return std::max(mStore.Era(), mPeerEra); }
+  /// Lists the objects at the store, or as a watcher knows them when the store
+  /// does not answer this instance.
   void List(const QString& aKind, BatchHandler aHandler) override;
   void ListStale(const QString& aKind, BatchHandler aHandler) override;
   void Get(const QString& aKind,
@@ -32,11 +38,11 @@
            ObjectHandler aHandler) override;
   void Put(const QString& aKind,
            const QString& aName,
-           int64_t aRevision,
+           const StoreRevision& aRevision,
            const QJsonValue& aContent,
            ObjectHandler aHandler) override;
   void Watch(const QString& aKind,
-             int64_t aAfter,
+             const StoreRevision& aAfter,
              int aWaitMs,
              BatchHandler aHandler) override;
 
@@ -64,18 +70,23 @@
   };
 
   void WatchFrom(const QString& aKind,
-                 int64_t aAfter,
+                 const StoreRevision& aAfter,
                  int aWaitMs,
                  std::vector<std::string> aSources,
                  const BatchHandler& aHandler);
+  /// Tries the sources from the last to the first, then calls aOnUnavailable.
+  /// Answers older than aMaxAge or of an era before aMinEra are not used.
   void ListFrom(const QString& aKind,
                 std::vector<std::string> aSources,
-                const BatchHandler& aHandler);
+                Milliseconds aMaxAge,
+                uint64_t aMinEra,
+                const BatchHandler& aHandler,
+                const std::function<void()>& aOnUnavailable);
   void WatchStore(const QString& aKind,
-                  int64_t aAfter,
+                  const StoreRevision& aAfter,
                   int aWaitMs,
                   const BatchHandler& aHandler);
-  std::vector<std::string> UsableSources() const;
+  std::vector<std::string> SourcesByPreference() const;
   void SetSource(const QString& aKind, const std::string& aSource);
   ObjectsAnswer MakeAnswer(const Kind& aKind, const WatchObjects& aWatch) const;
   void AnswerPendingWatches(Kind& aKind);
@@ -91,6 +102,8 @@
   /// Instances that did not answer, and until when they are not asked again.
   std::map<std::string, Instant> mSkippedUntil;
   std::map<QString, Kind> mKinds;
+  /// The highest era in an answer of another instance.
+  uint64_t mPeerEra = 0;
 };
 
 }
--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Result.h"
+#include "LibDecision/StoreRevision.h"
 
 #include <QJsonValue>
 #include <QString>
@@ -13,7 +14,9 @@
 struct StoredObject
 {
   QString mName;
-  int64_t mRevision = 0;
+  /// The store's revision at the last change of the object, in the era of the
+  /// answer that contained it.
+  StoreRevision mRevision;
   QJsonValue mContent;
   /// Set only in changes, never in a list.
   bool mIsDeleted = false;
@@ -25,7 +28,7 @@
 struct ObjectBatch
 {
   std::vector<StoredObject> mObjects;
-  int64_t mStoreRevision = 0;
+  StoreRevision mStoreRevision;
 
   bool operator==(const ObjectBatch&) const = default;
 };
@@ -42,6 +45,9 @@
 
   virtual ~ObjectStore() = default;
 
+  /// The highest era in an answer so far; 0 before the first answer and for a
+  /// store that does not report eras.
+  virtual uint64_t Era() const = 0;
   /// Lists all objects of a kind.
   virtual void List(const QString& aKind, BatchHandler aHandler) = 0;
   /// Lists all objects of a kind as of up to some seconds ago, at a tenth of
@@ -51,19 +57,21 @@
   virtual void Get(const QString& aKind,
                    const QString& aName,
                    ObjectHandler aHandler) = 0;
-  /// Replaces the object if its revision equals aRevision; 0 creates the
-  /// object. Errors: Conflict when the revision differs or the object exists
-  /// already, NotFound.
+  /// Replaces the object if its revision has the number of aRevision; 0 creates
+  /// the object. The store doesn't compare eras: after it was restored, a
+  /// number may belong to another change. Errors: Conflict when the number
+  /// differs or the object exists already, NotFound.
   virtual void Put(const QString& aKind,
                    const QString& aName,
-                   int64_t aRevision,
+                   const StoreRevision& aRevision,
                    const QJsonValue& aContent,
                    ObjectHandler aHandler) = 0;
   /// Waits up to aWaitMs for changes of a kind after a revision of the store.
-  /// The batch is empty when the time is over. Errors: NotFound when the store
-  /// has compacted that revision.
+  /// The batch is empty when the time is over. A batch of another era than
+  /// aAfter does not continue from it: changes are missing. Errors: NotFound
+  /// when the store has compacted or lost that revision.
   virtual void Watch(const QString& aKind,
-                     int64_t aAfter,
+                     const StoreRevision& aAfter,
                      int aWaitMs,
                      BatchHandler aHandler) = 0;
 };
--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -1,5 +1,9 @@
 #include "DirectoryController.h"
 
+#include "../Clock.h"
+#include "LibCore/StructuredLog.h"
+
+#include <QTimer>
 #include <algorithm>
 
 namespace papayaline {
@@ -16,7 +20,8 @@
          std::ranges::for_each(
            aObjects, [this](const auto& it) { ApplyConfiguration(it); });
        },
-        [this](const StoredObject& aObject) { ApplyConfiguration(aObject); } })
+        [this](const StoredObject& aObject) { ApplyConfiguration(aObject); } },
+      MakeWatcherEnvironment())
   , mDirectoryWatcher(aStore,
                       aReader.DirectoryKind(),
                       { [this](const std::vector<StoredObject>& aObjects) {
@@ -33,8 +38,24 @@
                           ApplyEntry(aObject);
                           mHasDirectory = true;
                           PublishDirectory();
-                        } })
+                        } },
+                      MakeWatcherEnvironment())
+{
+}
+
+ObjectWatcher::Environment
+DirectoryController::MakeWatcherEnvironment()
 {
+  return { Now,
+           [this](Duration aDelay, std::function<void()> aRun) {
+             const auto wait =
+               std::chrono::ceil<std::chrono::milliseconds>(aDelay);
+             QTimer::singleShot(wait, &mTimerContext, std::move(aRun));
+           },
+           [](const std::string& aEvent, const LogFields& aFields) {
+             StructuredLog::Instance().Write(
+               LogPriority::Decision, aEvent, aFields);
+           } };
 }
 
 void
@@ -72,7 +93,7 @@
     StructuredLog::Instance().Write(
       LogPriority::Decision,
       "configuration.unreadable",
-      { { "revision", std::to_string(aObject.mRevision) },
+      { { "revision", aObject.mRevision.ToString() },
         { "error", parsed.GetError().mMessage } });
     return;
   }
@@ -81,7 +102,7 @@
     LogPriority::Decision,
     isApplied ? "configuration.applied" : "configuration.kept",
     { { "version", std::to_string(parsed.Value().mVersion) },
-      { "revision", std::to_string(aObject.mRevision) } });
+      { "revision", aObject.mRevision.ToString() } });
 }
 
 void
--- a/Services/Papayalined/Relay/DirectoryController.h
+++ b/Services/Papayalined/Relay/DirectoryController.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "LibPeer/ObjectWatcher.h"
 #include "LibPlatform/PlatformDocumentParser.h"
 #include "LibRelay/DirectoryView.h"
-#include "ObjectWatcher.h"
+
+#include <QObject>
 
 namespace papayaline {
 
@@ -26,12 +28,15 @@
   std::optional<Address> FindAddress(const std::string& aUpstream) const;
 
 private:
+  ObjectWatcher::Environment MakeWatcherEnvironment();
   void ApplyConfiguration(const StoredObject& aObject);
   void ApplyEntry(const StoredObject& aObject);
   void PublishDirectory();
 
   RelayRouter& mRouter;
   const PlatformDocumentParser& mReader;
+  /// Its destruction cancels the timers of the watchers.
+  QObject mTimerContext;
   ObjectWatcher mConfigurationWatcher;
   ObjectWatcher mDirectoryWatcher;
   DirectoryView mView;
--- a/Services/Papayalined/Relay/FleetController.cpp
+++ b/Services/Papayalined/Relay/FleetController.cpp
@@ -103,7 +103,8 @@
   if (!mOwnRevision) {
     const auto own = std::ranges::find(
       aBatch.Value().mObjects, mInstanceName, &StoredObject::mName);
-    mOwnRevision = own != aBatch.Value().mObjects.end() ? own->mRevision : 0;
+    mOwnRevision =
+      own != aBatch.Value().mObjects.end() ? own->mRevision : StoreRevision{};
   }
 }
 
@@ -143,7 +144,7 @@
     if (!aObject.IsError()) {
       mOwnRevision = aObject.Value().mRevision;
     } else if (aObject.GetError().mKind == ErrorKind::NotFound) {
-      mOwnRevision = 0;
+      mOwnRevision = StoreRevision{};
     } else {
       OnWritten(aObject);
       return;
--- a/Services/Papayalined/Relay/FleetController.h
+++ b/Services/Papayalined/Relay/FleetController.h
@@ -55,7 +55,7 @@
   FleetView mView;
   /// The revision of this instance's entry; 0 when it does not exist, nothing
   /// when unknown.
-  std::optional<int64_t> mOwnRevision;
+  std::optional<StoreRevision> mOwnRevision;
   int64_t mSequence = 0;
   Instant mLastListAt;
 };
--- a/Services/Papayalined/Relay/PromotionLeaseController.cpp
+++ b/Services/Papayalined/Relay/PromotionLeaseController.cpp
@@ -84,22 +84,21 @@
 PromotionLeaseController::WriteRecord(const WriteLease& aWrite)
 {
   const auto sentAt = mClock();
-  mStore.Put(kKind,
-             kName,
-             aWrite.mExpectedRevision,
-             ToJson(aWrite.mRecord),
-             [this, sentAt](const Result<StoredObject>& aObject) {
-               if (aObject.IsError()) {
-                 NotifyRefused(mClock() + kRetryDelay,
-                               aObject.GetError().mMessage);
-                 return;
-               }
-               mIsAcquiring = false;
-               mWaitingGroups.clear();
-               mLease.OnAcquired(aObject.Value().mRevision, sentAt);
-               Log("duty.taken",
-                   { { "token", std::to_string(aObject.Value().mRevision) } });
-             });
+  mStore.Put(
+    kKind,
+    kName,
+    aWrite.mExpectedRevision,
+    ToJson(aWrite.mRecord),
+    [this, sentAt](const Result<StoredObject>& aObject) {
+      if (aObject.IsError()) {
+        NotifyRefused(mClock() + kRetryDelay, aObject.GetError().mMessage);
+        return;
+      }
+      mIsAcquiring = false;
+      mWaitingGroups.clear();
+      mLease.OnAcquired(aObject.Value().mRevision, sentAt);
+      Log("duty.taken", { { "token", aObject.Value().mRevision.ToString() } });
+    });
 }
 
 void
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -289,6 +289,7 @@
     add("term", label, aGroup.View().HighestTerm());
   });
   add("instances", {}, mFleet.LiveInstances().size());
+  add("store_era", {}, mSharedStore.Era());
   add("forwarded_total", {}, mForwardCounts.mForwarded);
   add("rerouted_total", {}, mForwardCounts.mRerouted);
   add("detours_total", {}, mForwardCounts.mDetours);
--- a/Tests/LibDecision/TestFleetView.cpp
+++ b/Tests/LibDecision/TestFleetView.cpp
@@ -22,7 +22,7 @@
   {
     FleetEntry entry;
     entry.mInstance.mName = aName;
-    entry.mRevision = aRevision;
+    entry.mRevision = { 0, aRevision };
     return entry;
   }
 
--- a/Tests/LibDecision/TestPromotionLease.cpp
+++ b/Tests/LibDecision/TestPromotionLease.cpp
@@ -24,7 +24,7 @@
 
   static StoredLease HeldBy(const std::string& aName, int64_t aRevision)
   {
-    return { { aName, "1", 1, false }, aRevision };
+    return { { aName, "1", 1, false }, { 0, aRevision } };
   }
 
   static bool Takes(const LeaseDecision& aDecision)
@@ -37,8 +37,8 @@
   {
     PromotionLease lease("me", "1");
     const auto decision = lease.Decide(std::nullopt, mStart);
-    CPPUNIT_ASSERT_EQUAL(int64_t(0),
-                         std::get<WriteLease>(decision).mExpectedRevision);
+    CPPUNIT_ASSERT(StoreRevision() ==
+                   std::get<WriteLease>(decision).mExpectedRevision);
   }
 
   void UnresponsiveHolderIsReplacedAfterTheLeaseTimeout()
@@ -76,7 +76,7 @@
   void SuspendedHolderFindsItsGrantEnded()
   {
     PromotionLease lease("me", "1");
-    lease.OnAcquired(9, mStart);
+    lease.OnAcquired({ 0, 9 }, mStart);
     CPPUNIT_ASSERT_EQUAL(uint64_t(9), lease.Grant(mStart)->mToken);
     CPPUNIT_ASSERT(!lease.Grant(mStart + 3s));
   }
@@ -89,12 +89,12 @@
   void UnusedLeaseIsReleasedAfterTheTimeout()
   {
     PromotionLease lease("me", "1");
-    lease.OnAcquired(9, mStart);
+    lease.OnAcquired({ 0, 9 }, mStart);
     lease.OnPromotionOrdered(mStart + 1s);
     CPPUNIT_ASSERT(!lease.ReleaseIfDue(mStart + mSettings.mTimeout));
     const auto release = lease.ReleaseIfDue(mStart + 1s + mSettings.mTimeout);
     CPPUNIT_ASSERT(release && release->mRecord.mIsReleased);
-    CPPUNIT_ASSERT_EQUAL(int64_t(9), release->mExpectedRevision);
+    CPPUNIT_ASSERT((StoreRevision{ 0, 9 }) == release->mExpectedRevision);
   }
 
   /// The store assigns no new revision to a write that changes nothing.
--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -1,6 +1,7 @@
 #include "SimulatedFleet.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace papayaline {
 
@@ -14,33 +15,55 @@
 
 }
 
-std::map<QString, StoredObject> FakeStore::sObjects;
-std::vector<StoredObject> FakeStore::sDeleted;
-int64_t FakeStore::sRevision = 1;
+FakeStore::Copy FakeStore::sContent;
+uint64_t FakeStore::sEra = 1;
+
+void
+FakeStore::Reset()
+{
+  sContent = {};
+  sEra = 1;
+}
+
+void
+FakeStore::Restore(const Copy& aCopy)
+{
+  sContent = aCopy;
+  ++sEra;
+}
 
 void
 FakeStore::Answer(BatchHandler aHandler, Result<ObjectBatch> aBatch)
 {
   if (!mIsSilent) {
-    mAnswers.emplace_back(mClock() + kStoreDelay, [=] { aHandler(aBatch); });
+    mAnswers.emplace_back(mClock() + kStoreDelay, [=, this] {
+      if (!aBatch.IsError()) {
+        mEra = std::max(mEra, aBatch.Value().mStoreRevision.mEra);
+      }
+      aHandler(aBatch);
+    });
   }
 }
 
+StoredObject
+FakeStore::InCurrentEra(StoredObject aObject)
+{
+  aObject.mRevision.mEra = sEra;
+  return aObject;
+}
+
 ObjectBatch
-FakeStore::ChangesAfter(int64_t aAfter) const
+FakeStore::ChangesAfter(const StoreRevision& aAfter)
 {
   ObjectBatch batch;
-  batch.mStoreRevision = sRevision;
-  for (const auto& it : sDeleted) {
-    if (it.mRevision > aAfter) {
-      batch.mObjects.push_back(it);
-    }
-  }
-  for (const auto& [name, it] : sObjects) {
-    if (it.mRevision > aAfter) {
-      batch.mObjects.push_back(it);
+  batch.mStoreRevision = { sEra, sContent.mRevision };
+  const auto add = [&](const StoredObject& aObject) {
+    if (aObject.mRevision.mNumber > aAfter.mNumber) {
+      batch.mObjects.push_back(InCurrentEra(aObject));
     }
-  }
+  };
+  std::ranges::for_each(sContent.mDeleted, add);
+  std::ranges::for_each(std::views::values(sContent.mObjects), add);
   return batch;
 }
 
@@ -53,10 +76,10 @@
     return;
   }
   ObjectBatch batch;
-  batch.mStoreRevision = sRevision;
-  for (const auto& [name, it] : sObjects) {
-    batch.mObjects.push_back(it);
-  }
+  batch.mStoreRevision = { sEra, sContent.mRevision };
+  std::ranges::transform(std::views::values(sContent.mObjects),
+                         std::back_inserter(batch.mObjects),
+                         InCurrentEra);
   Answer(std::move(aHandler), batch);
 }
 
@@ -68,7 +91,7 @@
 
 void
 FakeStore::Watch(const QString&,
-                 int64_t aAfter,
+                 const StoreRevision& aAfter,
                  int aWaitMs,
                  BatchHandler aHandler)
 {
@@ -77,21 +100,27 @@
     Answer(std::move(aHandler), Error{ ErrorKind::QueueFull, "refused" });
     return;
   }
+  if (aAfter.mNumber > sContent.mRevision) {
+    Answer(std::move(aHandler), Error{ ErrorKind::NotFound, "gone" });
+    return;
+  }
   mPendingWatches.push_back(
-    { aAfter, mClock() + Milliseconds(aWaitMs), std::move(aHandler) });
+    { aAfter, sEra, mClock() + Milliseconds(aWaitMs), std::move(aHandler) });
 }
 
 void
 FakeStore::Set(const QString& aName, const QString& aContent)
 {
-  sObjects[aName] = { aName, ++sRevision, aContent, false };
+  sContent.mObjects[aName] = {
+    aName, { 0, ++sContent.mRevision }, aContent, false
+  };
 }
 
 void
 FakeStore::Remove(const QString& aName)
 {
-  sObjects.erase(aName);
-  sDeleted.push_back({ aName, ++sRevision, {}, true });
+  sContent.mObjects.erase(aName);
+  sContent.mDeleted.push_back({ aName, { 0, ++sContent.mRevision }, {}, true });
 }
 
 void
@@ -108,6 +137,8 @@
       } else {
         mPendingWatches.push_back(it);
       }
+    } else if (it.mEra != sEra) {
+      Answer(it.mHandler, Error{ ErrorKind::Unreachable, "cut off" });
     } else if (!changes.mObjects.empty() || now >= it.mDeadline) {
       Answer(it.mHandler, changes);
     } else {
@@ -180,8 +211,7 @@
 SimulatedFleet::SimulatedFleet(size_t aCount, std::vector<std::string> aDomains)
   : mDatabases(std::make_unique<FakeUpstreams>())
 {
-  FakeStore::sObjects.clear();
-  FakeStore::sDeleted.clear();
+  FakeStore::Reset();
   // FakeUpstreams has an instance of its own, which takes no part here.
   mDatabases->mIsHome = false;
   mDatabases->mMaxConnections = 16;
@@ -420,6 +450,14 @@
   }
 }
 
+void
+SimulatedFleet::RunAfter(const std::string& aInstance,
+                         Duration aDelay,
+                         std::function<void()> aRun)
+{
+  mEvents.push_back({ mDatabases->Now() + aDelay, aInstance, std::move(aRun) });
+}
+
 void
 SimulatedFleet::Freeze(const std::string& aName, Milliseconds aTime)
 {
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -14,51 +14,69 @@
 public:
   using Clock = std::function<Instant()>;
 
+  /// The content of the store at one moment.
+  struct Copy
+  {
+    std::map<QString, StoredObject> mObjects;
+    std::vector<StoredObject> mDeleted;
+    int64_t mRevision = 1;
+  };
+
   explicit FakeStore(Clock aClock)
     : mClock(std::move(aClock))
   {
   }
 
+  uint64_t Era() const override { return mEra; }
   void List(const QString& aKind, BatchHandler aHandler) override;
   void ListStale(const QString& aKind, BatchHandler aHandler) override;
   void Get(const QString&, const QString&, ObjectHandler) override {}
   void Put(const QString&,
            const QString&,
-           int64_t,
+           const StoreRevision&,
            const QJsonValue&,
            ObjectHandler) override
   {
   }
   void Watch(const QString& aKind,
-             int64_t aAfter,
+             const StoreRevision& aAfter,
              int aWaitMs,
              BatchHandler aHandler) override;
 
   void Set(const QString& aName, const QString& aContent);
   void Remove(const QString& aName);
   void Step();
+  static Copy MakeCopy() { return sContent; }
+  /// Loses all changes after the copy and starts a new era. Waiting watches are
+  /// cut off.
+  static void Restore(const Copy& aCopy);
+  /// Empties the store.
+  static void Reset();
 
   /// Rejects this instance's calls.
   bool mIsRefusing = false;
   /// Answers none of this instance's calls.
   bool mIsSilent = false;
   size_t mCalls = 0;
-  static std::map<QString, StoredObject> sObjects;
-  static std::vector<StoredObject> sDeleted;
-  static int64_t sRevision;
 
 private:
+  static Copy sContent;
+  static uint64_t sEra;
+
   struct PendingWatch
   {
-    int64_t mAfterRevision = 0;
+    StoreRevision mAfterRevision;
+    uint64_t mEra = 0;
     Instant mDeadline;
     BatchHandler mHandler;
   };
 
   void Answer(BatchHandler aHandler, Result<ObjectBatch> aBatch);
-  ObjectBatch ChangesAfter(int64_t aAfter) const;
+  static ObjectBatch ChangesAfter(const StoreRevision& aAfter);
+  static StoredObject InCurrentEra(StoredObject aObject);
 
   Clock mClock;
+  uint64_t mEra = 0;
   std::vector<PendingWatch> mPendingWatches;
   std::vector<std::pair<Instant, std::function<void()>>> mAnswers;
 };
@@ -108,6 +126,10 @@
   void Run(Milliseconds aTime) { mDatabases->Run(aTime); }
   void Kill(const std::string& aName);
   void Freeze(const std::string& aName, Milliseconds aTime);
+  /// Runs a function at an instance after a delay.
+  void RunAfter(const std::string& aInstance,
+                Duration aDelay,
+                std::function<void()> aRun);
   /// Sets the instances that an instance believes to be live.
   void SetFleet(Instance& aInstance,
                 const std::vector<InstanceInfo>& aInstances);
--- a/Tests/LibPeer/TestPeerMessages.cpp
+++ b/Tests/LibPeer/TestPeerMessages.cpp
@@ -62,9 +62,9 @@
     refusal.mAnswer.mError = Error{ ErrorKind::QueueFull, "no slot" };
     ObjectsAnswer objects;
     objects.mCall = 9;
-    objects.mBatch = {
-      { { "main", 12, "text", false }, { "gone", 13, {}, true } }, 14
-    };
+    objects.mBatch = { { { "main", { 2, 12 }, "text", false },
+                         { "gone", { 2, 13 }, {}, true } },
+                       { 2, 14 } };
     return { PeerHello{ 1, "i1" },
              Statement(),
              answer,
@@ -74,7 +74,7 @@
              PeerPing{},
              PeerPong{},
              PeerLeaving{},
-             WatchObjects{ 9, "config", 11, 1s, 3s },
+             WatchObjects{ 9, "config", { 2, 11 }, 1s, 3s },
              objects };
   }
 
--- a/Tests/LibPeer/TestSharedWatches.cpp
+++ b/Tests/LibPeer/TestSharedWatches.cpp
@@ -33,7 +33,7 @@
   struct Follower
   {
     std::map<QString, QString> mContents;
-    int64_t mRevision = 0;
+    StoreRevision mRevision;
     bool mHasDecreased = false;
 
     void Apply(const ObjectBatch& aBatch)
@@ -219,31 +219,32 @@
   {
     ObjectMirror mirror;
     const Instant now(1h);
-    mirror.ApplyList({ { { "a", 5, "new", false } }, 9 }, now);
-    mirror.ApplyList({ { { "a", 3, "old", false } }, 4 }, now);
-    mirror.ApplyChanges({ { { "a", 3, "old", false } }, 4 }, now);
-    const auto changes = mirror.ChangesAfter(8);
-    CPPUNIT_ASSERT_EQUAL(int64_t(9), mirror.Revision());
+    mirror.ApplyList({ { { "a", { 0, 5 }, "new", false } }, { 0, 9 } }, now);
+    mirror.ApplyList({ { { "a", { 0, 3 }, "old", false } }, { 0, 4 } }, now);
+    mirror.ApplyChanges({ { { "a", { 0, 3 }, "old", false } }, { 0, 4 } }, now);
+    const auto changes = mirror.ChangesAfter({ 0, 8 });
+    CPPUNIT_ASSERT(mirror.Revision() == (StoreRevision{ 0, 9 }));
     CPPUNIT_ASSERT(changes && changes->mObjects.empty());
-    CPPUNIT_ASSERT(!mirror.ChangesAfter(2));
+    CPPUNIT_ASSERT(!mirror.ChangesAfter({ 0, 2 }));
   }
 
   void MirrorReportsDeletionsAndDropsOldTombstones()
   {
     ObjectMirror mirror;
     const Instant now(1h);
-    mirror.ApplyList({ {}, 1 }, now);
-    int64_t revision = 1;
+    mirror.ApplyList({ {}, { 0, 1 } }, now);
+    StoreRevision revision{ 0, 1 };
     for (size_t n = 0; n < ObjectMirror::kMaxTombstones + 10; ++n) {
       const auto name = QString::number(n);
-      ++revision;
+      ++revision.mNumber;
       mirror.ApplyChanges({ { { name, revision, {}, false } }, revision }, now);
-      ++revision;
+      ++revision.mNumber;
       mirror.ApplyChanges({ { { name, revision, {}, true } }, revision }, now);
     }
-    CPPUNIT_ASSERT_EQUAL(size_t(1),
-                         mirror.ChangesAfter(revision - 1)->mObjects.size());
-    CPPUNIT_ASSERT(!mirror.ChangesAfter(2));
+    CPPUNIT_ASSERT_EQUAL(
+      size_t(1),
+      mirror.ChangesAfter({ 0, revision.mNumber - 1 })->mObjects.size());
+    CPPUNIT_ASSERT(!mirror.ChangesAfter({ 0, 2 }));
   }
 };
 
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -216,10 +216,11 @@
     }
     // The write runs 4 ms after the read, and its answer may be lost.
     Schedule(mNow + 4ms, [this, aInstance, sentAt, retry, put = *take] {
-      const auto present = mLeaseObject ? mLeaseObject->mRevision : 0;
+      const auto present =
+        mLeaseObject ? mLeaseObject->mRevision : StoreRevision();
       const bool isDone = present == put.mExpectedRevision;
       if (isDone) {
-        mLeaseObject = StoredLease{ put.mRecord, ++mRevision };
+        mLeaseObject = StoredLease{ put.mRecord, { 0, ++mRevision.mNumber } };
       }
       auto& holder = mInstances[aInstance];
       if (isDone && !Chance(0.1)) {
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -116,7 +116,7 @@
   /// Pairs of databases, in name order, that can't replicate to each other.
   std::set<std::pair<std::string, std::string>> mPartitions;
   std::optional<StoredLease> mLeaseObject;
-  int64_t mRevision = 1;
+  StoreRevision mRevision{ 0, 1 };
   uint64_t mLastToken = 0;
   bool mIsStoreUp = true;
   Instant mNextFault;
--- a/Tests/PlatformAdapter/TestDocumentParser.cpp
+++ b/Tests/PlatformAdapter/TestDocumentParser.cpp
@@ -53,7 +53,7 @@
     if (!aName.isEmpty()) {
       content[aName] = aValue;
     }
-    return { "i-7f3a91c2", 12, content, false };
+    return { "i-7f3a91c2", { 0, 12 }, content, false };
   }
 
 public:
@@ -106,7 +106,7 @@
       CPPUNIT_ASSERT_MESSAGE(it.mField, read.IsError());
     }
     CPPUNIT_ASSERT(DocumentParser()
-                     .ParseDirectoryEntry({ "i-1", 1, "noise", false })
+                     .ParseDirectoryEntry({ "i-1", { 0, 1 }, "noise", false })
                      .IsError());
   }
 };
