LibDecision: Keep the promotion lease safe when the store was restored

Cause: the token was the revision of the lease record, which is assigned again after a restore; and the record, or the lack of one, was trusted, although a holder may have acquired the lease after the copy was made.

Change: the token holds the era above the revision's number. The record names the era in which its holder decided to write it. A missing record, and one that names another era than the store's, count as held until the lease timeout has passed since the instance learned of the era, or first saw the record; instances read the record when they learn of a new era. A write that took effect in another era than it was decided in grants nothing, and a grant of an earlier era is not released in the store, where its revision may belong to another holder. A holder keeps its grant over a restore and may acquire again during it, since nobody else may.

A primary that fails right after a restore is replaced up to 5.5 s later than before: an instance that does not know of the restore may still order.

Evidence: the seven new tests of TestPromotionLease; explore-relay restores the store, lets instances learn of it late or not at all, executes lease writes up to 6 s late, and checks that tokens don't decrease, that no two holders share one and that no two grants overlap.

--- a/Libraries/LibDecision/PromotionLease.h
+++ b/Libraries/LibDecision/PromotionLease.h
@@ -23,6 +23,8 @@
   /// Set when the holder released the lease, so that another instance may
   /// acquire it without waiting for the timeout.
   bool mIsReleased = false;
+  /// The era of the store in which the holder decided to write the record.
+  uint64_t mEra = 0;
 
   bool operator==(const LeaseRecord&) const = default;
 };
@@ -69,7 +71,8 @@
 /// Permission to order promotions, with the fencing token for the orders.
 struct LeaseGrant
 {
-  /// The revision of the record; it increases with each change of the holder.
+  /// Increases with each change of the holder, also after the store was
+  /// restored.
   uint64_t mToken = 0;
   Instant mValidUntil;
 
@@ -80,7 +83,16 @@
 /// different machines are not compared: a lease expires once its record is
 /// unchanged for the lease timeout on the observer's clock, and its holder
 /// stops ordering promotions well before. The clock must include time in which
-/// the machine is suspended. Thread safety: one thread.
+/// the machine is suspended.
+///
+/// A store that was restored from a copy may have lost the record of a holder,
+/// who may not know of it. Its era tells: a record, or the lack of one, proves
+/// nothing about grants of earlier eras, so the lease timeout has to pass after
+/// this instance learned of the era. A record that names another era than the
+/// store's was written by an instance that did not know of the restore, and is
+/// not trusted either.
+///
+/// Thread safety: one thread.
 class PromotionLease
 {
 public:
@@ -88,12 +100,21 @@
                  std::string aIncarnation,
                  LeaseSettings aSettings = {});
 
+  /// Records the era of the store that this instance knows of at aNow, and
+  /// returns whether the store was restored since the last call. Eras before
+  /// the known one are ignored.
+  bool ObserveEra(uint64_t aEra, Instant aNow);
+  /// Records a record that was read at aNow without an intention to write.
+  void ObserveRecord(const StoredLease& aStored, Instant aNow);
+
   /// Decides what to do with the record that was read at aNow.
   LeaseDecision Decide(const std::optional<StoredLease>& aStored, Instant aNow);
 
-  /// Handles the success of the write of WriteLease that was sent at aSentAt
-  /// and got aRevision.
-  void OnAcquired(const StoreRevision& aRevision, Instant aSentAt);
+  /// Handles the success of the write of the last WriteLease, which was sent at
+  /// aSentAt and got aRevision. Returns the grant, or nothing when the write
+  /// took effect in another era than the record it was decided from.
+  std::optional<LeaseGrant> OnAcquired(const StoreRevision& aRevision,
+                                       Instant aSentAt);
 
   /// Returns the grant while it is valid.
   std::optional<LeaseGrant> Grant(Instant aNow) const;
@@ -102,16 +123,23 @@
   void OnPromotionOrdered(Instant aNow);
 
   /// Returns the write that releases the lease if this instance ordered nothing
-  /// for the lease timeout. The grant ends then.
+  /// for the lease timeout. The grant ends then. A grant of an earlier era ends
+  /// without a write, since its revision may be that of another holder now.
   std::optional<WriteLease> ReleaseIfDue(Instant aNow);
 
 private:
   LeaseRecord OwnRecord() const;
+  bool MayWrite(const std::optional<StoredLease>& aStored, Instant aNow) const;
 
   std::string mInstance;
   std::string mIncarnation;
   LeaseSettings mSettings;
   uint64_t mSequence = 0;
+  /// The era of the store, and when this instance learned of it.
+  uint64_t mEra = 0;
+  Instant mEraSince;
+  /// The era in which the last WriteLease was decided.
+  uint64_t mDecidedEra = 0;
   StoreRevision mSeenRevision;
   Instant mFirstSeenAt;
   std::optional<LeaseGrant> mGrant;
--- a/Services/Papayalined/Relay/PromotionLeaseController.cpp
+++ b/Services/Papayalined/Relay/PromotionLeaseController.cpp
@@ -20,7 +20,8 @@
   return { { "holder", QString::fromStdString(aRecord.mHolder) },
            { "incarnation", QString::fromStdString(aRecord.mIncarnation) },
            { "sequence", static_cast<qint64>(aRecord.mSequence) },
-           { "released", aRecord.mIsReleased } };
+           { "released", aRecord.mIsReleased },
+           { "era", static_cast<qint64>(aRecord.mEra) } };
 }
 
 StoredLease
@@ -30,10 +31,24 @@
   return { { json["holder"].toString().toStdString(),
              json["incarnation"].toString().toStdString(),
              static_cast<uint64_t>(json["sequence"].toInteger()),
-             json["released"].toBool() },
+             json["released"].toBool(),
+             static_cast<uint64_t>(json["era"].toInteger()) },
            aObject.mRevision };
 }
 
+std::string
+DescribeRefusal(const std::optional<StoredLease>& aStored)
+{
+  if (!aStored) {
+    return "the store was restored and has no record";
+  }
+  const auto& record = aStored->mRecord;
+  return (record.mEra == aStored->mRevision.mEra
+            ? "held by "
+            : "written before the store was restored, by ") +
+         record.mHolder;
+}
+
 void
 Log(const std::string& aEvent, const LogFields& aFields)
 {
@@ -68,37 +83,60 @@
       NotifyRefused(mClock() + kRetryDelay, aObject.GetError().mMessage);
       return;
     }
+    mLease.ObserveEra(mStore.Era(), mClock());
     const auto stored = aObject.IsError()
                           ? std::nullopt
                           : std::optional(ParseRecord(aObject.Value()));
     std::visit(Overloaded{ [this](const WriteLease& it) { WriteRecord(it); },
                            [&](const WaitForLeaseHolder& it) {
-                             NotifyRefused(
-                               it.mUntil, "held by " + stored->mRecord.mHolder);
+                             NotifyRefused(it.mUntil, DescribeRefusal(stored));
                            } },
                mLease.Decide(stored, mClock()));
   });
 }
 
+void
+PromotionLeaseController::ObserveEra(uint64_t aEra)
+{
+  if (!mLease.ObserveEra(aEra, mClock())) {
+    return;
+  }
+  mStore.Get(kKind, kName, [this](const Result<StoredObject>& aObject) {
+    if (!aObject.IsError()) {
+      mLease.ObserveRecord(ParseRecord(aObject.Value()), mClock());
+    } else if (aObject.GetError().mKind != ErrorKind::NotFound) {
+      Log("duty.unread", { { "error", aObject.GetError().mMessage } });
+    }
+  });
+}
+
 void
 PromotionLeaseController::WriteRecord(const WriteLease& aWrite)
 {
   const auto sentAt = mClock();
-  mStore.Put(
-    kKind,
-    kName,
-    aWrite.mExpectedRevision,
-    ToJson(aWrite.mRecord),
-    [this, sentAt](const Result<StoredObject>& aObject) {
-      if (aObject.IsError()) {
-        NotifyRefused(mClock() + kRetryDelay, aObject.GetError().mMessage);
-        return;
-      }
-      mIsAcquiring = false;
-      mWaitingGroups.clear();
-      mLease.OnAcquired(aObject.Value().mRevision, sentAt);
-      Log("duty.taken", { { "token", aObject.Value().mRevision.ToString() } });
-    });
+  mStore.Put(kKind,
+             kName,
+             aWrite.mExpectedRevision,
+             ToJson(aWrite.mRecord),
+             [this, sentAt](const Result<StoredObject>& aObject) {
+               if (aObject.IsError()) {
+                 NotifyRefused(mClock() + kRetryDelay,
+                               aObject.GetError().mMessage);
+                 return;
+               }
+               const auto& revision = aObject.Value().mRevision;
+               const auto grant = mLease.OnAcquired(revision, sentAt);
+               if (!grant) {
+                 NotifyRefused(mClock() + kRetryDelay,
+                               "the store was restored before the write");
+                 return;
+               }
+               mIsAcquiring = false;
+               mWaitingGroups.clear();
+               Log("duty.taken",
+                   { { "token", std::to_string(grant->mToken) },
+                     { "revision", revision.ToString() } });
+             });
 }
 
 void
--- a/Services/Papayalined/Relay/PromotionLeaseController.h
+++ b/Services/Papayalined/Relay/PromotionLeaseController.h
@@ -33,6 +33,10 @@
   /// Releases the lease when no promotion has been ordered for the lease
   /// timeout.
   void Tick();
+  /// Handles a new era of the store. When the store was restored, reads the
+  /// record, so that its lease timeout starts now and not with the next
+  /// takeover.
+  void ObserveEra(uint64_t aEra);
 
 private:
   void WriteRecord(const WriteLease& aWrite);
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -312,12 +312,24 @@
   });
 }
 
+void
+RelayService::ObserveStoreEra()
+{
+  const auto era = mSharedStore.Era();
+  if (era == mStoreEra) {
+    return;
+  }
+  mStoreEra = era;
+  mLeaseController.ObserveEra(era);
+}
+
 void
 RelayService::Tick()
 {
   mDirectory.Tick();
   mRouter.Tick();
   mLeaseController.Tick();
+  ObserveStoreEra();
   mPeers.Tick();
   mPeerServer.Tick();
   mSharedStore.Tick();
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -46,6 +46,8 @@
   QByteArray FormatMetrics() const;
   void LogSummary();
   void Tick();
+  /// Handles a restore of the store that any answer told of.
+  void ObserveStoreEra();
   void StartDrain();
   /// Closes idle connections, rolls back open transactions after half of the
   /// grace time, and exits when nothing is left or the grace time ends.
@@ -73,6 +75,8 @@
   std::unique_ptr<QSocketNotifier> mSignalNotifier;
   /// When the signal to stop arrived.
   std::optional<Instant> mDrainingSince;
+  /// The era of the store at the last tick.
+  uint64_t mStoreEra = 0;
 };
 
 }
--- a/Tests/LibDecision/TestPromotionLease.cpp
+++ b/Tests/LibDecision/TestPromotionLease.cpp
@@ -17,14 +17,23 @@
   CPPUNIT_TEST(GrantEndsBeforeAnotherMayTakeOver);
   CPPUNIT_TEST(UnusedLeaseIsReleasedAfterTheTimeout);
   CPPUNIT_TEST(EachWriteDiffers);
+  CPPUNIT_TEST(TokenAfterARestoreOfTheStoreIsHigher);
+  CPPUNIT_TEST(RecordLostByARestoreIsCreatedAfterTheLeaseTimeout);
+  CPPUNIT_TEST(RecordFromBeforeARestoreIsReplacedAfterTheLeaseTimeout);
+  CPPUNIT_TEST(RecordReadBeforeARestoreDecidesNothing);
+  CPPUNIT_TEST(WriteThatRanAfterARestoreGrantsNothing);
+  CPPUNIT_TEST(HolderWithAGrantAcquiresAgainAfterARestore);
+  CPPUNIT_TEST(GrantFromBeforeARestoreIsNotReleased);
   CPPUNIT_TEST_SUITE_END();
 
   const Instant mStart{ 1h };
   const LeaseSettings mSettings;
 
-  static StoredLease HeldBy(const std::string& aName, int64_t aRevision)
+  static StoredLease HeldBy(const std::string& aName,
+                            int64_t aRevision,
+                            uint64_t aEra = 0)
   {
-    return { { aName, "1", 1, false }, { 0, aRevision } };
+    return { { aName, "1", 1, false, aEra }, { aEra, aRevision } };
   }
 
   static bool Takes(const LeaseDecision& aDecision)
@@ -106,6 +115,93 @@
     CPPUNIT_ASSERT(std::get<WriteLease>(first).mRecord !=
                    std::get<WriteLease>(second).mRecord);
   }
+
+  /// Guards against a promotion with a lower token than one that the platform
+  /// has seen.
+  void TokenAfterARestoreOfTheStoreIsHigher()
+  {
+    PromotionLease lease("me", "1");
+    lease.ObserveEra(1, mStart - 1min);
+    lease.Decide(std::nullopt, mStart);
+    const auto before = lease.OnAcquired({ 1, 32 }, mStart);
+    lease.ObserveEra(2, mStart + 1s);
+    lease.Decide(std::nullopt, mStart + 1min);
+    const auto after = lease.OnAcquired({ 2, 26 }, mStart + 1min);
+    CPPUNIT_ASSERT(before && after && after->mToken > before->mToken);
+  }
+
+  /// Guards against two holders at a time, of which the store has forgotten
+  /// one.
+  void RecordLostByARestoreIsCreatedAfterTheLeaseTimeout()
+  {
+    PromotionLease lease("me", "1");
+    lease.ObserveEra(1, mStart - 1min);
+    CPPUNIT_ASSERT(Takes(lease.Decide(std::nullopt, mStart)));
+    CPPUNIT_ASSERT(lease.ObserveEra(2, mStart));
+    CPPUNIT_ASSERT(!Takes(lease.Decide(std::nullopt, mStart)));
+    const auto end = mStart + mSettings.mTimeout;
+    CPPUNIT_ASSERT(!Takes(lease.Decide(std::nullopt, end - 1ms)));
+    CPPUNIT_ASSERT(Takes(lease.Decide(std::nullopt, end)));
+  }
+
+  /// Guards against trust in a released lease that another instance acquired
+  /// after the copy was made.
+  void RecordFromBeforeARestoreIsReplacedAfterTheLeaseTimeout()
+  {
+    PromotionLease lease("me", "1");
+    auto stored = HeldBy("other", 7, 1);
+    stored.mRecord.mIsReleased = true;
+    CPPUNIT_ASSERT(Takes(lease.Decide(stored, mStart - 1min)));
+    stored.mRevision.mEra = 2;
+    CPPUNIT_ASSERT(!Takes(lease.Decide(stored, mStart)));
+    CPPUNIT_ASSERT(Takes(lease.Decide(stored, mStart + mSettings.mTimeout)));
+  }
+
+  void RecordReadBeforeARestoreDecidesNothing()
+  {
+    PromotionLease lease("me", "1");
+    lease.ObserveEra(2, mStart - 1min);
+    auto stored = HeldBy("other", 7, 1);
+    stored.mRecord.mIsReleased = true;
+    CPPUNIT_ASSERT(!Takes(lease.Decide(stored, mStart)));
+  }
+
+  /// Guards against a write that was decided from a lost record and executed
+  /// late, when its revision number belonged to another change.
+  void WriteThatRanAfterARestoreGrantsNothing()
+  {
+    PromotionLease lease("me", "1");
+    auto stored = HeldBy("other", 7, 1);
+    stored.mRecord.mIsReleased = true;
+    CPPUNIT_ASSERT(Takes(lease.Decide(stored, mStart)));
+    lease.ObserveEra(2, mStart + 1ms);
+    CPPUNIT_ASSERT(!lease.OnAcquired({ 2, 8 }, mStart));
+    CPPUNIT_ASSERT(!lease.Grant(mStart));
+  }
+
+  /// No other instance can have acquired the lease during the grant.
+  void HolderWithAGrantAcquiresAgainAfterARestore()
+  {
+    PromotionLease lease("me", "1");
+    lease.ObserveEra(1, mStart - 1min);
+    lease.Decide(std::nullopt, mStart);
+    lease.OnAcquired({ 1, 9 }, mStart);
+    lease.ObserveEra(2, mStart + 1s);
+    CPPUNIT_ASSERT(Takes(lease.Decide(std::nullopt, mStart + 1s)));
+    CPPUNIT_ASSERT(lease.OnAcquired({ 2, 5 }, mStart + 1s));
+  }
+
+  /// Guards against a release that replaces the record of a later holder with
+  /// the same revision number.
+  void GrantFromBeforeARestoreIsNotReleased()
+  {
+    PromotionLease lease("me", "1");
+    lease.ObserveEra(1, mStart - 1min);
+    lease.Decide(std::nullopt, mStart);
+    lease.OnAcquired({ 1, 9 }, mStart);
+    lease.ObserveEra(2, mStart + 1s);
+    CPPUNIT_ASSERT(!lease.ReleaseIfDue(mStart + 2 * mSettings.mTimeout));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestPromotionLease);
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -16,6 +16,12 @@
 constexpr auto kOneWayDelay = 1ms;
 constexpr auto kMaxAge = 400ms;
 constexpr auto kTick = 20ms;
+constexpr auto kCopyInterval = 500ms;
+/// The oldest copy that the store is restored from is ten seconds old.
+constexpr size_t kMaxCopies = 20;
+constexpr int kMaxRestoreIntervalMs = 15'000;
+constexpr int kMaxLearningDelayMs = 4000;
+constexpr int kMaxLateWriteMs = 6000;
 
 }
 
@@ -103,6 +109,8 @@
   : mRandom(aSeed)
   , mFreshness(aFreshness)
   , mAcknowledgement(aAcknowledgement)
+  , mLeaseObject(StoredLease{ { "", "", 0, true, 1 }, { 1, 1 } })
+  , mStoreRandom(aSeed)
 {
   for (const auto* it : { "a", "b", "c" }) {
     Database database;
@@ -131,6 +139,7 @@
   for (size_t it = 0; it < kInstances; ++it) {
     mInstances[it].mLease =
       std::make_unique<PromotionLease>("i" + std::to_string(it), "1");
+    ObserveEra(it);
     mInstances[it].mRouter = std::make_unique<RelayRouter>(MakeEnvironment(it));
     mInstances[it].mRouter->ApplyConfigurationIfNewer(configuration);
     mInstances[it].mRouter->SetDirectory(entries);
@@ -149,6 +158,7 @@
       [this, it](const StatementAnswer& aAnswer) { OnResponse(it, aAnswer); });
   }
   mNextFault = mNow + 500ms;
+  mNextRestore = mNow + RandomStoreDelay(kMaxRestoreIntervalMs);
 }
 
 RelayWorld::~RelayWorld()
@@ -183,7 +193,17 @@
     if (grant->mToken < mLastToken) {
       ReportViolation("ONE: a lower token was sent");
     }
+    if (grant->mToken == mLastToken && aInstance != mLastHolder) {
+      ReportViolation("ONE: two holders have the same token");
+    }
+    const bool isShared = std::ranges::any_of(mInstances, [&](const auto& it) {
+      return &it != &instance && it.mLease->Grant(mNow);
+    });
+    if (isShared) {
+      ReportViolation("ONE: two instances hold the lease");
+    }
     mLastToken = grant->mToken;
+    mLastHolder = aInstance;
     Schedule(mNow + Milliseconds(200 + RandomBelow(400)),
              [this, aName] { Promote(aName); });
   };
@@ -196,6 +216,22 @@
   return environment;
 }
 
+Milliseconds
+RelayWorld::RandomStoreDelay(int aBelowMs)
+{
+  return Milliseconds(
+    std::uniform_int_distribution<>(0, aBelowMs - 1)(mStoreRandom));
+}
+
+void
+RelayWorld::ObserveEra(size_t aInstance)
+{
+  auto& lease = *mInstances[aInstance].mLease;
+  if (lease.ObserveEra(mRevision.mEra, mNow) && mLeaseObject) {
+    lease.ObserveRecord(*mLeaseObject, mNow);
+  }
+}
+
 void
 RelayWorld::AcquireLease(size_t aInstance)
 {
@@ -208,30 +244,74 @@
       return;
     }
     const auto sentAt = mNow;
+    instance.mLease->ObserveEra(mRevision.mEra, mNow);
     const auto decision = instance.mLease->Decide(mLeaseObject, mNow);
     const auto* take = std::get_if<WriteLease>(&decision);
     if (!take) {
       group->OnLeaseRefused(std::get<WaitForLeaseHolder>(decision).mUntil);
       return;
     }
-    // The write runs 4 ms after the read, and its answer may be lost.
+    // The write runs 4 ms after the read. Its answer may be lost, and it may
+    // run seconds later.
     Schedule(mNow + 4ms, [this, aInstance, sentAt, retry, put = *take] {
-      const auto present =
-        mLeaseObject ? mLeaseObject->mRevision : StoreRevision();
-      const bool isDone = present == put.mExpectedRevision;
-      if (isDone) {
-        mLeaseObject = StoredLease{ put.mRecord, { 0, ++mRevision.mNumber } };
-      }
       auto& holder = mInstances[aInstance];
-      if (isDone && !Chance(0.1)) {
-        holder.mLease->OnAcquired(mRevision, sentAt);
-      } else {
-        holder.mRouter->FindGroup("g")->OnLeaseRefused(retry);
+      const auto isLost = Chance(0.1);
+      if (isLost && RandomStoreDelay(2) == 0ms) {
+        Schedule(mNow + RandomStoreDelay(kMaxLateWriteMs),
+                 [this, put] { PutLease(put); });
+      } else if (PutLease(put) && !isLost &&
+                 holder.mLease->OnAcquired(mLeaseObject->mRevision, sentAt)) {
+        return;
       }
+      holder.mRouter->FindGroup("g")->OnLeaseRefused(retry);
     });
   });
 }
 
+bool
+RelayWorld::PutLease(const WriteLease& aPut)
+{
+  const auto present = mLeaseObject ? mLeaseObject->mRevision.mNumber : 0;
+  if (present != aPut.mExpectedRevision.mNumber) {
+    return false;
+  }
+  ++mRevision.mNumber;
+  mLeaseObject = StoredLease{ aPut.mRecord, mRevision };
+  return true;
+}
+
+void
+RelayWorld::ReleaseLease(Instance& aInstance)
+{
+  if (const auto release = aInstance.mLease->ReleaseIfDue(mNow)) {
+    const bool isLate = RandomStoreDelay(4) == 0ms;
+    Schedule(mNow + 4ms + (isLate ? RandomStoreDelay(kMaxLateWriteMs) : 0ms),
+             [this, put = *release] { PutLease(put); });
+  }
+}
+
+void
+RelayWorld::RestoreStore()
+{
+  ++mRestores;
+  const auto n = static_cast<size_t>(
+    RandomStoreDelay(static_cast<int>(mStoreCopies.size())).count());
+  const auto copy = mStoreCopies[n];
+  mRevision = { mRevision.mEra + 1, copy.mNumber };
+  mLeaseObject = copy.mLease;
+  if (mLeaseObject) {
+    mLeaseObject->mRevision.mEra = mRevision.mEra;
+  }
+  mStoreCopies.clear();
+  for (size_t it = 0; it < mInstances.size(); ++it) {
+    // Every other instance learns of it only when it needs the lease.
+    if (RandomStoreDelay(2) == 0ms) {
+      Schedule(mNow + RandomStoreDelay(kMaxLearningDelayMs),
+               [this, it] { ObserveEra(it); });
+    }
+  }
+}
+
 void
 RelayWorld::Schedule(Instant aAt, std::function<void()> aRun)
 {
@@ -607,14 +687,28 @@
       mEvents.pop_back();
       event.mRun();
     }
+    const auto sinceEpoch = mNow.time_since_epoch();
+    if (sinceEpoch % kCopyInterval == 0ms) {
+      mStoreCopies.push_back({ mLeaseObject, mRevision.mNumber });
+      // Other writes, so that numbers are assigned to other changes again.
+      mRevision.mNumber += RandomStoreDelay(3).count();
+      if (mStoreCopies.size() > kMaxCopies) {
+        mStoreCopies.pop_front();
+      }
+    }
+    if (mNow >= mNextRestore && !mStoreCopies.empty()) {
+      mNextRestore = mNow + RandomStoreDelay(kMaxRestoreIntervalMs);
+      RestoreStore();
+    }
     if (mNow >= mNextFault) {
       mNextFault = mNow + Milliseconds(300 + RandomBelow(2000));
       InjectFault();
     }
     for (auto& it : mInstances) {
-      const bool isTick = (mNow.time_since_epoch() / 1ms) % (kTick / 1ms) == 0;
+      const bool isTick = sinceEpoch % kTick == 0ms;
       if (isTick && mNow >= it.mSuspendedUntil) {
         it.mRouter->Tick();
+        ReleaseLease(it);
       }
     }
     for (size_t it = 0; it < mCallers.size(); ++it) {
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -13,7 +13,9 @@
 
 /// Simulates several instances that use one group of databases under random
 /// faults, and checks the invariants for callers at each commit, read and
-/// response. Uses one thread and simulated time.
+/// response. The store is restored from older copies of itself, which instances
+/// learn of at different times or not at all. Uses one thread and simulated
+/// time.
 class RelayWorld
 {
 public:
@@ -28,6 +30,7 @@
   size_t Acknowledged() const { return mAcknowledged.size(); }
   size_t Reads() const { return mReads; }
   size_t Promotions() const { return mPromotions; }
+  size_t Restores() const { return mRestores; }
 
 private:
   struct Entry
@@ -69,6 +72,11 @@
     bool mIsTransaction = false;
     Instant mBeganAt;
   };
+  struct StoreCopy
+  {
+    std::optional<StoredLease> mLease;
+    int64_t mNumber = 0;
+  };
   class Channel;
   struct Event
   {
@@ -99,6 +107,12 @@
   void Replicate();
   void InjectFault();
   void AcquireLease(size_t aInstance);
+  /// Writes the lease record if its revision number is the expected one.
+  bool PutLease(const WriteLease& aPut);
+  void ReleaseLease(Instance& aInstance);
+  void ObserveEra(size_t aInstance);
+  void RestoreStore();
+  Milliseconds RandomStoreDelay(int aBelowMs);
   void SendNextStatement(size_t aCaller);
   void OnResponse(size_t aCaller, const StatementAnswer& aAnswer);
   void ReportViolation(const std::string& aText);
@@ -116,8 +130,14 @@
   /// Pairs of databases, in name order, that can't replicate to each other.
   std::set<std::pair<std::string, std::string>> mPartitions;
   std::optional<StoredLease> mLeaseObject;
-  StoreRevision mRevision{ 0, 1 };
+  StoreRevision mRevision{ 1, 1 };
+  /// Draws the store's faults, so that they don't change the other draws.
+  std::mt19937 mStoreRandom;
+  std::deque<StoreCopy> mStoreCopies;
+  Instant mNextRestore;
+  size_t mRestores = 0;
   uint64_t mLastToken = 0;
+  size_t mLastHolder = 0;
   bool mIsStoreUp = true;
   Instant mNextFault;
   std::map<std::string, Instant> mAcknowledged;
--- a/Tests/LibRelay/TestExploration.cpp
+++ b/Tests/LibRelay/TestExploration.cpp
@@ -26,24 +26,28 @@
     size_t acknowledged = 0;
     size_t reads = 0;
     size_t promotions = 0;
+    size_t restores = 0;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
       RelayWorld world(seed, aFreshness, aAcknowledgement);
       world.Run(15s);
       acknowledged += world.Acknowledged();
       reads += world.Reads();
       promotions += world.Promotions();
+      restores += world.Restores();
       if (!world.Violations().empty()) {
         CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " +
                      world.Violations().front());
       }
     }
     std::cout << " " << acknowledged << " writes, " << reads << " reads, "
-              << promotions << " promotions ";
+              << promotions << " promotions, " << restores
+              << " restores of the store ";
     // Guards against a simulation in which faults prevent all progress, which
     // would violate no rule.
     CPPUNIT_ASSERT(acknowledged > kSeeds * 100);
     CPPUNIT_ASSERT(reads > kSeeds * 100);
     CPPUNIT_ASSERT(promotions > kSeeds / 2);
+    CPPUNIT_ASSERT(restores > kSeeds / 2);
   }
 
 public:
