LibDecision: Count instances whose announcements a restored store lost

Cause: an instance that announced itself after the copy was made is missing in the restored store until its next announcement, up to 20 s. The others took it for gone: the connections to the databases were divided among fewer instances than hold them, and a peer refused its connection, so that its statements were not forwarded.

Change: FleetView keeps an unlisted instance until it expires if its announcement belongs to another era than the list, and ignores entries of earlier eras. An instance that learns of a restore announces itself within a second, and creates its entry again when the store has none.

Evidence: InstanceLostByARestoreOfTheStoreCountsUntilItExpires and ListOfAnEarlierEraChangesNothing; the first counts one instance where two run when the eras are equal, as before this change.

--- a/Libraries/LibDecision/FleetView.cpp
+++ b/Libraries/LibDecision/FleetView.cpp
@@ -1,11 +1,14 @@
 #include "LibDecision/FleetView.h"
 
 #include <algorithm>
+#include <set>
 
 namespace papayaline {
 
 void
-FleetView::Observe(const std::vector<FleetEntry>& aEntries, Instant aNow)
+FleetView::Observe(const std::vector<FleetEntry>& aEntries,
+                   uint64_t aEra,
+                   Instant aNow)
 {
   // The interval grows with the number of entries, including entries of
   // instances that are gone.
@@ -13,20 +16,26 @@
     mSettings.mMissedRefreshes *
     std::max<Duration>(mSettings.mRefreshInterval,
                        mSettings.mRefreshIntervalPerInstance * aEntries.size());
-  std::map<std::string, Announcement> instances;
-  mLive.clear();
+  std::set<std::string> listed;
   for (const auto& it : aEntries) {
-    const auto known = mAnnouncements.find(it.mInstance.mName);
-    const bool isUnchanged =
-      known != mAnnouncements.end() && known->second.mRevision == it.mRevision;
-    const auto changedAt = isUnchanged ? known->second.mChangedAt : aNow;
-    instances[it.mInstance.mName] = { it.mRevision, changedAt };
-    if (aNow - changedAt < expiry) {
-      mLive.push_back(it.mInstance);
+    listed.insert(it.mInstance.mName);
+    auto& known = mAnnouncements[it.mInstance.mName];
+    if (known.mEntry != it && known.mEntry.mRevision.mEra <= aEra) {
+      known = { it, aNow };
+    }
+  }
+  std::erase_if(mAnnouncements, [&](const auto& it) {
+    const auto& [entry, changedAt] = it.second;
+    const bool mayBeLost = entry.mRevision.mEra != aEra;
+    return !listed.contains(it.first) &&
+           (!mayBeLost || aNow - changedAt >= expiry);
+  });
+  mLive.clear();
+  for (const auto& [name, it] : mAnnouncements) {
+    if (aNow - it.mChangedAt < expiry) {
+      mLive.push_back(it.mEntry.mInstance);
     }
   }
-  std::ranges::sort(mLive, {}, &InstanceInfo::mName);
-  mAnnouncements = std::move(instances);
 }
 
 Duration
--- a/Libraries/LibDecision/FleetView.h
+++ b/Libraries/LibDecision/FleetView.h
@@ -46,8 +46,12 @@
   }
 
   /// Handles the complete list of entries, read at aNow. Instances that are not
-  /// listed are gone.
-  void Observe(const std::vector<FleetEntry>& aEntries, Instant aNow);
+  /// listed are gone, but for those whose entries belong to another era than
+  /// the list: a restored store may have lost them, and they expire unless they
+  /// announce themselves again.
+  void Observe(const std::vector<FleetEntry>& aEntries,
+               uint64_t aEra,
+               Instant aNow);
 
   /// The live instances, sorted by name; empty before the first list.
   const std::vector<InstanceInfo>& LiveInstances() const { return mLive; }
@@ -57,7 +61,7 @@
 private:
   struct Announcement
   {
-    StoreRevision mRevision;
+    FleetEntry mEntry;
     Instant mChangedAt;
   };
 
--- a/Services/Papayalined/Relay/FleetController.cpp
+++ b/Services/Papayalined/Relay/FleetController.cpp
@@ -3,7 +3,7 @@
 #include "LibCore/StructuredLog.h"
 
 #include <QJsonObject>
-#include <QTimer>
+#include <QRandomGenerator>
 #include <algorithm>
 
 namespace papayaline {
@@ -20,6 +20,8 @@
 constexpr auto kSecondListDelay = 3s;
 /// Minimum time after a list before an unlisted host causes another.
 constexpr Duration kMinRequestInterval = 1s;
+/// Spreads the announcements of all instances after the store was restored.
+constexpr int kMaxRestoreDelayMs = 1000;
 /// After a failed write or read of the own entry.
 constexpr Duration kRetryDelay = 5s;
 
@@ -43,6 +45,17 @@
   , mClock(std::move(aClock))
   , mOnChange(std::move(aOnChange))
 {
+  mAnnounceTimer.setSingleShot(true);
+  connect(&mAnnounceTimer, &QTimer::timeout, this, [this] {
+    List([this] { Announce(); });
+  });
+}
+
+void
+FleetController::OnStoreRestored()
+{
+  mOwnRevision.reset();
+  mAnnounceTimer.start(QRandomGenerator::global()->bounded(kMaxRestoreDelayMs));
 }
 
 bool
@@ -94,7 +107,7 @@
                          std::back_inserter(entries),
                          [this](const auto& it) { return ParseEntry(it); });
   const auto before = mView.LiveInstances();
-  mView.Observe(entries, mClock());
+  mView.Observe(entries, aBatch.Value().mStoreRevision.mEra, mClock());
   if (mView.LiveInstances() != before) {
     Log("fleet.changed",
         { { "instances", std::to_string(mView.LiveInstances().size()) } });
@@ -178,18 +191,22 @@
   if (aObject.IsError()) {
     // The write may have taken effect, so the revision must be read again.
     mOwnRevision.reset();
-    if (aObject.GetError().mKind == ErrorKind::Conflict) {
+    const auto kind = aObject.GetError().mKind;
+    if (kind == ErrorKind::Conflict || kind == ErrorKind::NotFound) {
       FetchRevision();
       return;
     }
     delay = kRetryDelay;
     Log("fleet.unannounced", { { "error", aObject.GetError().mMessage } });
+  } else if (aObject.Value().mRevision.mEra < mStore.Era()) {
+    OnStoreRestored();
+    return;
   } else {
     mOwnRevision = aObject.Value().mRevision;
   }
   const auto wait =
     std::chrono::duration_cast<std::chrono::milliseconds>(delay);
-  QTimer::singleShot(wait, this, [this] { List([this] { Announce(); }); });
+  mAnnounceTimer.start(wait);
 }
 
 }
--- a/Services/Papayalined/Relay/FleetController.h
+++ b/Services/Papayalined/Relay/FleetController.h
@@ -5,6 +5,7 @@
 #include "LibRelay/UpstreamLink.h"
 
 #include <QObject>
+#include <QTimer>
 
 namespace papayaline {
 
@@ -29,6 +30,9 @@
   {
     return mView.LiveInstances();
   }
+  /// Announces this instance again, after the store was restored.
+  void OnStoreRestored();
+
   /// Whether a live instance has its peer address at this host.
   bool IsKnownHost(const std::string& aHost) const;
   /// Lists the instances again, at most once a second. Called when an instance
@@ -58,6 +62,7 @@
   std::optional<StoreRevision> mOwnRevision;
   int64_t mSequence = 0;
   Instant mLastListAt;
+  QTimer mAnnounceTimer;
 };
 
 }
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -319,8 +319,11 @@
   if (era == mStoreEra) {
     return;
   }
-  mStoreEra = era;
+  const bool isRestored = std::exchange(mStoreEra, era) != 0;
   mLeaseController.ObserveEra(era);
+  if (isRestored) {
+    mFleet.OnStoreRestored();
+  }
 }
 
 void
