PeerPool: Expire calls of an instance that is short of processor time

What callers may see: a new route refused, or a dropped one served, for as long as an instance is overloaded and the instance that it watches is silent (CONFIG).

Cause: a tick more than 100 ms after the previous one counted as the end of a stall, and no call expired in that tick. Where every tick is late, no call ever expired: an instance went on waiting for the answer to a watch from a peer that was gone.

Change: in a late tick, calls expire that were due at the previous tick, since what arrived meanwhile has been read by then. The time without a message from a peer is measured by a clock that advances by 100 ms at most from tick to tick.

Evidence: WatchersFrozenChangeReachesInstancesWithLateTicks failed before (a change did not reach the instances within 5 s, nor ever) and passes.

--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -75,8 +75,8 @@
   const auto connection = ++mLastConnectionId;
   aPeer.mConnection = connection;
   aPeer.mIsOpen = false;
-  aPeer.mOpenedAt = mClock();
-  aPeer.mPingedAt.reset();
+  aPeer.mOpenedAt = mLastTick.mRunTime;
+  aPeer.mIsPinged = false;
   const auto isCurrent = [this, aName, connection] {
     const auto it = mPeers.find(aName);
     return it != mPeers.end() && it->second.mConnection == connection;
@@ -117,7 +117,7 @@
                     Call aCall,
                     PeerMessage aMessage)
 {
-  aCall.mStartedAt = mClock();
+  aCall.mStartedAt = mLastTick.mRunTime;
   aCall.mIsSent = aPeer.mIsOpen;
   aPeer.mCalls[aCallId] = std::move(aCall);
   Send(aPeer, std::move(aMessage));
@@ -202,8 +202,8 @@
 PeerPool::OnMessage(const std::string& aPeer, const PeerMessage& aMessage)
 {
   auto& peer = mPeers.at(aPeer);
-  peer.mLastReceivedAt = mClock();
-  peer.mPingedAt.reset();
+  peer.mLastReceivedAt = mLastTick.mRunTime;
+  peer.mIsPinged = false;
   if (peer.mConsecutiveFailures > 0) {
     mLog("peer.regained", { { "peer", aPeer } });
     peer.mConsecutiveFailures = 0;
@@ -321,11 +321,10 @@
 }
 
 void
-PeerPool::CheckLiveness(const std::string& aName, Peer& aPeer, Instant aNow)
+PeerPool::CheckLiveness(const std::string& aName, Peer& aPeer, Instant aRunTime)
 {
   if (!aPeer.mIsOpen) {
-    if (aNow - std::max(aPeer.mOpenedAt, mResumedAt) >=
-        mSettings.mOpenTimeout) {
+    if (aRunTime - aPeer.mOpenedAt >= mSettings.mOpenTimeout) {
       Close(aName, "opening timed out");
     }
     return;
@@ -341,34 +340,29 @@
     return;
   }
   const auto since = std::max(
-    { oldest != aPeer.mCalls.end() ? oldest->second.mStartedAt : Instant(),
-      aPeer.mLastReceivedAt,
-      mResumedAt });
-  if (aNow - since >= mSettings.mLivenessTimeout && aPeer.mPingedAt) {
+    oldest != aPeer.mCalls.end() ? oldest->second.mStartedAt : Instant(),
+    aPeer.mLastReceivedAt);
+  if (aRunTime - since >= mSettings.mLivenessTimeout && aPeer.mIsPinged) {
     Close(aName, "silent");
-  } else if (aNow - since >= mSettings.mPingAfter && !aPeer.mPingedAt) {
-    aPeer.mPingedAt = aNow;
+  } else if (aRunTime - since >= mSettings.mPingAfter && !aPeer.mIsPinged) {
+    aPeer.mIsPinged = true;
     aPeer.mChannel->Send(PeerPing{});
   }
 }
 
 void
-PeerPool::ExpireCalls(const std::string& aName, Peer& aPeer, Instant aNow)
+PeerPool::ExpireCalls(const std::string& aName, Peer& aPeer, Instant aDue)
 {
-  // After a stall, answers may have arrived that are not read yet.
-  if (mResumedAt == aNow) {
-    return;
-  }
   std::vector<Call> expired;
   std::erase_if(aPeer.mCalls, [&](auto& it) {
-    const bool isExpired = aNow >= it.second.mDeadline;
+    const bool isExpired = aDue >= it.second.mDeadline;
     if (isExpired) {
       expired.push_back(std::move(it.second));
     }
     return isExpired;
   });
   const bool isUnresponsive = std::ranges::any_of(expired, [&](const auto& it) {
-    return it.mIsSent && aPeer.mLastReceivedAt < it.mStartedAt;
+    return it.mIsSent && aPeer.mLastReceivedAt <= it.mStartedAt;
   });
   if (isUnresponsive) {
     Close(aName, "no answer in time");
@@ -403,10 +397,14 @@
 PeerPool::Tick()
 {
   const auto now = mClock();
-  if (!mLastTick || now - *mLastTick > mSettings.mMaxTickInterval) {
-    mResumedAt = now;
-  }
-  mLastTick = now;
+  const auto previous = mLastTick;
+  const auto interval = now - previous.mNow;
+  mLastTick = {
+    now, previous.mRunTime + std::min(interval, mSettings.mMaxTickInterval)
+  };
+  // After a late tick, what was due at the previous one has been read.
+  const auto& due =
+    interval > mSettings.mMaxTickInterval ? previous : mLastTick;
   std::vector<std::string> connected;
   for (auto& [name, it] : mPeers) {
     Reopen(name, it, now);
@@ -416,9 +414,9 @@
   }
   for (const auto& name : connected) {
     auto& peer = mPeers.at(name);
-    ExpireCalls(name, peer, now);
+    ExpireCalls(name, peer, due.mNow);
     if (peer.mChannel) {
-      CheckLiveness(name, peer, now);
+      CheckLiveness(name, peer, due.mRunTime);
     }
     if (peer.mChannel && IsIdle(peer, now)) {
       peer.mConnection = 0;
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -20,9 +20,9 @@
   /// long. Longer than the stalls of a process that shares a core, shorter than
   /// the shortest timeout of a route.
   Duration mLivenessTimeout = std::chrono::milliseconds(700);
-  /// A longer interval between two ticks counts as a stall of this process.
-  /// Messages that did not arrive during a stall are no sign that a peer
-  /// failed.
+  /// A tick after a longer interval is late: this process was stalled, or is
+  /// short of processor time. Messages that arrived meanwhile are read before
+  /// the next tick, and the excess counts as no silence of a peer.
   Duration mMaxTickInterval = std::chrono::milliseconds(100);
   /// Delay before a failed connection is opened again; doubles up to the
   /// maximum.
@@ -110,10 +110,17 @@
   {
     ForwardHandler mOnForward;
     ObjectsHandler mOnObjects;
+    /// In run time.
     Instant mStartedAt;
     Instant mDeadline;
     bool mIsSent = false;
   };
+  struct TickTime
+  {
+    Instant mNow;
+    /// A clock that advances by mMaxTickInterval at most from tick to tick.
+    Instant mRunTime;
+  };
   struct Peer
   {
     InstanceInfo mInfo;
@@ -124,10 +131,12 @@
     bool mIsOpen = false;
     bool mIsLeaving = false;
     bool mIsInFleet = true;
+    /// In run time.
     Instant mOpenedAt;
     Instant mLastUsedAt;
+    /// In run time.
     Instant mLastReceivedAt;
-    std::optional<Instant> mPingedAt;
+    bool mIsPinged = false;
     Instant mRetryAt;
     unsigned mConsecutiveFailures = 0;
     std::vector<PeerMessage> mQueuedMessages;
@@ -148,8 +157,9 @@
   void OnAnswer(Peer& aPeer, const ForwardAnswer& aAnswer);
   void OnObjects(Peer& aPeer, const ObjectsAnswer& aAnswer);
   void Close(const std::string& aPeer, const std::string& aReason);
-  void CheckLiveness(const std::string& aName, Peer& aPeer, Instant aNow);
-  void ExpireCalls(const std::string& aName, Peer& aPeer, Instant aNow);
+  void CheckLiveness(const std::string& aName, Peer& aPeer, Instant aRunTime);
+  /// Ends the calls whose deadline is not after aDue.
+  void ExpireCalls(const std::string& aName, Peer& aPeer, Instant aDue);
   void Reopen(const std::string& aName, Peer& aPeer, Instant aNow);
   bool IsIdle(const Peer& aPeer, Instant aNow) const;
   static void FailCall(const Call& aCall);
@@ -162,9 +172,7 @@
   std::map<std::string, Peer> mPeers;
   uint64_t mLastCallId = 0;
   uint64_t mLastConnectionId = 0;
-  std::optional<Instant> mLastTick;
-  /// When the last stall of this process ended.
-  Instant mResumedAt;
+  TickTime mLastTick;
 };
 
 }
--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -10,7 +10,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto kOneWayDelay = 1ms;
-constexpr auto kTick = 20ms;
 constexpr auto kStoreDelay = 4ms;
 
 }
@@ -425,7 +424,7 @@
   if (now < mNextTick) {
     return;
   }
-  mNextTick = now + kTick;
+  mNextTick = now + mTickInterval;
   for (const auto& it : mInstances) {
     if (IsRunning(*it)) {
       it->mRouter->Tick();
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -126,6 +126,9 @@
   void Run(Milliseconds aTime) { mDatabases->Run(aTime); }
   void Kill(const std::string& aName);
   void Freeze(const std::string& aName, Milliseconds aTime);
+  /// Sets the time between two ticks of all instances, which is longer when
+  /// they are short of processor time.
+  void SetTickInterval(Milliseconds aInterval) { mTickInterval = aInterval; }
   /// Runs a function at an instance after a delay.
   void RunAfter(const std::string& aInstance,
                 Duration aDelay,
@@ -163,6 +166,7 @@
   std::vector<std::weak_ptr<Link>> mLinks;
   std::vector<std::unique_ptr<Instance>> mInstances;
   Instant mNextTick;
+  Milliseconds mTickInterval{ 20 };
 };
 
 }
--- a/Tests/LibPeer/TestSharedWatches.cpp
+++ b/Tests/LibPeer/TestSharedWatches.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(ObjectRemovedReachesAllInstances);
   CPPUNIT_TEST(WatchersKilledChangeReachesAllOthers);
   CPPUNIT_TEST(WatchersFrozenChangeReachesAllOthers);
+  CPPUNIT_TEST(WatchersFrozenChangeReachesInstancesWithLateTicks);
   CPPUNIT_TEST(WatchersRefusedByTheStoreChangeReachesAllInstances);
   CPPUNIT_TEST(WatchersUnansweredByTheStoreChangeReachesAllInstances);
   CPPUNIT_TEST(ChangeAfterStoreOutageReachesAllInstances);
@@ -184,6 +185,15 @@
     AssertAllHave("second");
   }
 
+  /// Guards against a configuration that is late because an instance that runs
+  /// late never gives up on a silent source.
+  void WatchersFrozenChangeReachesInstancesWithLateTicks()
+  {
+    mFleet->SetTickInterval(150ms);
+    mFleet->Run(500ms);
+    WatchersFrozenChangeReachesAllOthers();
+  }
+
   void WatchersRefusedByTheStoreChangeReachesAllInstances()
   {
     ForEachWatcher([&](size_t n) { StoreOf(n).mIsRefusing = true; });
