SharedObjectStore: Ask the store when a source does not answer in time

Cause: an instance asked its sources one after the other. Each one to which a connection was open and that was silent, because it was frozen, cut off or its connection had gone silent, cost 1.4 s; four of them and the watch before them cost more than the 5 s within which a change must be in force. Each timeout by itself is below the bound; their sum is not.

Change: PeerPool tells a call that timed out from a closed connection and from an answer without objects. After the first timeout the store itself is asked; sources that fail at once are still tried one after the other, which saves calls.

Evidence: ConnectedWatchersFrozenChangeReachesAllOthers failed before and passes.

--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -267,7 +267,7 @@
 }
 
 void
-PeerPool::FailCall(const Call& aCall)
+PeerPool::FailCall(const Call& aCall, const Error& aError)
 {
   if (aCall.mOnForward) {
     ForwardOutcome outcome;
@@ -276,9 +276,7 @@
     aCall.mOnForward(outcome);
   }
   if (aCall.mOnObjects) {
-    ObjectsAnswer unknown;
-    unknown.mIsUnavailable = true;
-    aCall.mOnObjects(unknown);
+    aCall.mOnObjects(aError);
   }
 }
 
@@ -316,7 +314,7 @@
   peer.mTransactions.clear();
   const auto calls = std::exchange(peer.mCalls, {});
   for (const auto& [id, it] : calls) {
-    FailCall(it);
+    FailCall(it, { ErrorKind::Unreachable, aReason });
   }
 }
 
@@ -367,7 +365,9 @@
   if (isUnresponsive) {
     Close(aName, "no answer in time");
   }
-  std::ranges::for_each(expired, FailCall);
+  for (const auto& it : expired) {
+    FailCall(it, { ErrorKind::DeadlinePassed, "the peer did not answer" });
+  }
 }
 
 bool
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -64,7 +64,7 @@
 public:
   using Clock = std::function<Instant()>;
   using ForwardHandler = std::function<void(const ForwardOutcome&)>;
-  using ObjectsHandler = std::function<void(const ObjectsAnswer&)>;
+  using ObjectsHandler = std::function<void(const Result<ObjectsAnswer>&)>;
   using LogSink = std::function<void(
     const std::string& aEvent,
     const std::vector<std::pair<std::string, std::string>>&)>;
@@ -97,7 +97,9 @@
   void Cancel(uint64_t aCallId);
   void RollBack(const ForwardedTransaction& aTransaction);
   /// Waits for changes of objects. The answer is marked unavailable when the
-  /// peer does not answer or can't tell. Precondition: the peer is usable.
+  /// peer can't tell. Errors: DeadlinePassed when the peer does not answer in
+  /// time, Unreachable when the connection closes. Precondition: the peer is
+  /// usable.
   void Watch(const std::string& aPeer,
              WatchObjects aWatch,
              ObjectsHandler aHandler);
@@ -162,7 +164,7 @@
   void ExpireCalls(const std::string& aName, Peer& aPeer, Instant aDue);
   void Reopen(const std::string& aName, Peer& aPeer, Instant aNow);
   bool IsIdle(const Peer& aPeer, Instant aNow) const;
-  static void FailCall(const Call& aCall);
+  static void FailCall(const Call& aCall, const Error& aError);
 
   std::string mInstance;
   PeerOpener mOpener;
--- a/Libraries/LibPeer/SharedObjectStore.cpp
+++ b/Libraries/LibPeer/SharedObjectStore.cpp
@@ -114,15 +114,13 @@
   WatchObjects list;
   list.mKind = aKind.toStdString();
   list.mMaxAge = aMaxAge;
-  mPeers.Watch(source, list, [=, this](const ObjectsAnswer& aAnswer) {
-    const auto& batch = aAnswer.mBatch;
-    mPeerEra = std::max(mPeerEra, batch.mStoreRevision.mEra);
-    if (aAnswer.mIsUnavailable || batch.mStoreRevision.mEra < aMinEra) {
+  mPeers.Watch(source, list, [=, this](const Result<ObjectsAnswer>& aAnswer) {
+    if (!HasObjects(aAnswer, aMinEra)) {
       ListFrom(aKind, aSources, aMaxAge, aMinEra, aHandler, aOnUnavailable);
       return;
     }
     SetSource(aKind, source);
-    aHandler(batch);
+    aHandler(aAnswer.Value().mBatch);
   });
 }
 
@@ -174,7 +172,21 @@
   WatchFrom(aKind, aAfter, aWaitMs, SourcesByPreference(), aHandler);
 }
 
-/// Tries the sources from the last to the first, then the store.
+/// Whether an instance answered with objects of aMinEra or later.
+bool
+SharedObjectStore::HasObjects(const Result<ObjectsAnswer>& aAnswer,
+                              uint64_t aMinEra)
+{
+  if (aAnswer.IsError()) {
+    return false;
+  }
+  const auto era = aAnswer.Value().mBatch.mStoreRevision.mEra;
+  mPeerEra = std::max(mPeerEra, era);
+  return !aAnswer.Value().mIsUnavailable && era >= aMinEra;
+}
+
+/// Tries the sources from the last to the first, then the store. When a source
+/// does not answer in time, the store is asked at once.
 void
 SharedObjectStore::WatchFrom(const QString& aKind,
                              const StoreRevision& aAfter,
@@ -197,16 +209,22 @@
   watch.mAfterRevision = aAfter;
   watch.mMaxWait = Milliseconds(std::min(aWaitMs, kPeerWaitMs));
   watch.mMaxAge = kMaxAge;
-  mPeers.Watch(source, watch, [=, this](const ObjectsAnswer& aAnswer) {
-    const auto era = aAnswer.mBatch.mStoreRevision.mEra;
-    mPeerEra = std::max(mPeerEra, era);
-    if (aAnswer.mIsUnavailable || era < Era()) {
-      mSkippedUntil[source] = mClock() + kSkipTime;
-      WatchFrom(aKind, aAfter, aWaitMs, aSources, aHandler);
+  mPeers.Watch(source, watch, [=, this](const Result<ObjectsAnswer>& aAnswer) {
+    if (HasObjects(aAnswer, Era())) {
+      const auto& batch = aAnswer.Value().mBatch;
+      mKinds[aKind].mMirror.ApplyChanges(batch, mClock());
+      aHandler(batch);
       return;
     }
-    mKinds[aKind].mMirror.ApplyChanges(aAnswer.mBatch, mClock());
-    aHandler(aAnswer.mBatch);
+    mSkippedUntil[source] = mClock() + kSkipTime;
+    // The timeouts of several silent sources would add up.
+    const bool isSilent = aAnswer.IsError() &&
+                          aAnswer.GetError().mKind == ErrorKind::DeadlinePassed;
+    WatchFrom(aKind,
+              aAfter,
+              aWaitMs,
+              isSilent ? std::vector<std::string>() : aSources,
+              aHandler);
   });
 }
 
--- a/Libraries/LibPeer/SharedObjectStore.h
+++ b/Libraries/LibPeer/SharedObjectStore.h
@@ -69,6 +69,7 @@
     std::vector<PendingWatch> mPendingWatches;
   };
 
+  bool HasObjects(const Result<ObjectsAnswer>& aAnswer, uint64_t aMinEra);
   void WatchFrom(const QString& aKind,
                  const StoreRevision& aAfter,
                  int aWaitMs,
--- a/Tests/LibPeer/TestSharedWatches.cpp
+++ b/Tests/LibPeer/TestSharedWatches.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(ObjectRemovedReachesAllInstances);
   CPPUNIT_TEST(WatchersKilledChangeReachesAllOthers);
   CPPUNIT_TEST(WatchersFrozenChangeReachesAllOthers);
+  CPPUNIT_TEST(ConnectedWatchersFrozenChangeReachesAllOthers);
   CPPUNIT_TEST(WatchersFrozenChangeReachesInstancesWithLateTicks);
   CPPUNIT_TEST(WatchersRefusedByTheStoreChangeReachesAllInstances);
   CPPUNIT_TEST(WatchersUnansweredByTheStoreChangeReachesAllInstances);
@@ -185,6 +186,24 @@
     AssertAllHave("second");
   }
 
+  /// Guards against a configuration that is late because an instance waits for
+  /// one silent source after the other.
+  void ConnectedWatchersFrozenChangeReachesAllOthers()
+  {
+    for (size_t n = 0; n < mFleet->Size(); ++n) {
+      ForEachWatcher([&](size_t watcher) {
+        if (watcher != n) {
+          WatchObjects list;
+          list.mKind = kKind.toStdString();
+          mFleet->At(n).mPeers->Watch(
+            mFleet->At(watcher).mInfo.mName, list, [](const auto&) {});
+        }
+      });
+    }
+    mFleet->Run(100ms);
+    WatchersFrozenChangeReachesAllOthers();
+  }
+
   /// Guards against a configuration that is late because an instance that runs
   /// late never gives up on a silent source.
   void WatchersFrozenChangeReachesInstancesWithLateTicks()
