Tests: Restore the store under a running instance

integration-relay shows both faults of a restored store on the process as it is run: StoreRestoredItsChangesAreFollowed, where the revisions of the new era have passed the position of the instance's watch, and StoreRestoredFencingTokensGrow.

LineStore restores an earlier copy of itself, reports its era, refuses watches from revisions that it does not have, and can hold content that is not JSON.

--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(WatchGoneSilentIsNoticedInTime);
   CPPUNIT_TEST(StoreBackChangeOfTheOutageIsInForce);
   CPPUNIT_TEST(PrimaryKilledIsReplaced);
+  CPPUNIT_TEST(StoreRestoredItsChangesAreFollowed);
+  CPPUNIT_TEST(StoreRestoredFencingTokensGrow);
   CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
   CPPUNIT_TEST_SUITE_END();
@@ -139,6 +141,15 @@
     return file.fileName();
   }
 
+  /// Starts the instance; a running one is killed first.
+  void StartInstance()
+  {
+    mInstance.reset();
+    mInstance = std::make_unique<ChildProcess>(
+      "Services/Papayalined/papayalined",
+      QStringList{ "--settings=" + WriteSettings() });
+  }
+
   int ReadinessStatus() const
   {
     QTcpSocket socket;
@@ -168,9 +179,7 @@
     mCallerPort = FreePort();
     mReadyPort = FreePort();
     mMetricsPort = FreePort();
-    mInstance = std::make_unique<ChildProcess>(
-      "Services/Papayalined/papayalined",
-      QStringList{ "--settings=" + WriteSettings() });
+    StartInstance();
     CPPUNIT_ASSERT(Await([this] { return IsReady(); }));
   }
 
@@ -279,6 +288,48 @@
       "entry-1");
   }
 
+  /// Guards against a configuration of the restored store that is not applied
+  /// since its revision number is lower than one seen before.
+  void StoreRestoredItsChangesAreFollowed()
+  {
+    const auto copy = mStore->MakeCopy();
+    Configure({ "bookings", "lost" });
+    CPPUNIT_ASSERT(Await([this] {
+      return Session(mCallerPort, "lost").mWelcome.startsWith("READY");
+    }));
+    mStore->Restore(copy);
+    Configure({ "bookings", "kept" });
+    // Other changes, so that the instance's watch position exists again.
+    for (int n = 0; n < 5; ++n) {
+      ListDatabases();
+    }
+    CPPUNIT_ASSERT(Await([this] {
+      return Session(mCallerPort, "kept").mWelcome.startsWith("READY");
+    }));
+  }
+
+  /// Guards against a promotion with a lower fencing token than one before.
+  void StoreRestoredFencingTokensGrow()
+  {
+    const auto copy = mStore->MakeCopy();
+    for (int n = 0; n < 5; ++n) {
+      ListDatabases();
+    }
+    Session session(mCallerPort, "bookings");
+    mDatabases->Kill("db-a");
+    CPPUNIT_ASSERT(Await(
+      [&] { return session.Query("WRITE 1 x").contains("COMPLETE signed"); }));
+    mDatabases->Restart("db-a");
+    mStore->Restore(copy);
+    ListDatabases();
+    const auto tokens = mStore->mFencingTokens;
+    mDatabases->Kill(mDatabases->Primary().mName);
+    CPPUNIT_ASSERT(Await(
+      [&] { return session.Query("WRITE 1 y").contains("COMPLETE signed"); }));
+    CPPUNIT_ASSERT(mStore->mFencingTokens.size() > tokens.size());
+    CPPUNIT_ASSERT(std::ranges::is_sorted(mStore->mFencingTokens));
+  }
+
   void MetricsHoldCountsAndLatencies()
   {
     Session session(mCallerPort, "bookings");
--- a/Tests/StandIns/Line/LineStore.cpp
+++ b/Tests/StandIns/Line/LineStore.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kConflict = 409;
 constexpr int kNotFound = 404;
+constexpr int kGone = 410;
 const QString kObjectsPath = "/api/objects/";
 
 }
@@ -80,9 +81,13 @@
   if (mIsDroppingAnswers) {
     return;
   }
-  const auto body = QJsonDocument(aAnswer.mBody).toJson(QJsonDocument::Compact);
+  auto body = QJsonDocument(aAnswer.mBody).toJson(QJsonDocument::Compact);
+  for (const auto& [key, text] : mTexts) {
+    body.replace(key, text);
+  }
   aSocket->write("HTTP/1.1 " + QByteArray::number(aAnswer.mStatus) +
-                 " X\r\nContent-Type: application/json\r\nContent-Length: " +
+                 " X\r\nStore-Era: " + QByteArray::number(mEra) +
+                 "\r\nContent-Type: application/json\r\nContent-Length: " +
                  QByteArray::number(body.size()) + "\r\n\r\n" + body);
 }
 
@@ -135,6 +140,10 @@
   const Watch watch{ aSocket,
                      kind,
                      query.queryItemValue("watch").toLongLong() };
+  if (watch.mAfterRevision > mRevision) {
+    Send(aSocket, { kGone, {} });
+    return;
+  }
   if (CompleteWatch(watch, false)) {
     return;
   }
@@ -232,6 +241,36 @@
   RecordChange(aKind, object, true);
 }
 
+void
+LineStore::PutText(const QString& aKind,
+                   const QString& aName,
+                   const QByteArray& aText)
+{
+  const auto key = "text " + QByteArray::number(mTexts.size());
+  mTexts['"' + key + '"'] = aText;
+  ++mRevision;
+  const QJsonObject object{
+    { "meta", QJsonObject{ { "name", aName }, { "revision", mRevision } } },
+    { "spec", QString::fromLatin1(key) }
+  };
+  mObjects[{ aKind, aName }] = object;
+  RecordChange(aKind, object, false);
+}
+
+void
+LineStore::Restore(const Copy& aCopy)
+{
+  ++mEra;
+  mRevision = aCopy.mRevision;
+  mObjects = aCopy.mObjects;
+  std::erase_if(mChanges,
+                [this](const auto& it) { return it.mRevision > mRevision; });
+  const auto watches = std::exchange(mWatches, {});
+  for (const auto& it : watches) {
+    it.mSocket->abort();
+  }
+}
+
 QJsonObject
 LineStore::Find(const QString& aKind, const QString& aName) const
 {
--- a/Tests/StandIns/Line/LineStore.h
+++ b/Tests/StandIns/Line/LineStore.h
@@ -13,6 +13,13 @@
 class LineStore : public QObject
 {
 public:
+  /// The content of the store at one moment.
+  struct Copy
+  {
+    qint64 mRevision = 0;
+    std::map<std::pair<QString, QString>, QJsonObject> mObjects;
+  };
+
   LineStore();
   ~LineStore() override;
 
@@ -23,6 +30,14 @@
            const QString& aName,
            const QJsonObject& aSpec);
   void Remove(const QString& aKind, const QString& aName);
+  /// Stores an object whose content is this text, which need not be JSON.
+  void PutText(const QString& aKind,
+               const QString& aName,
+               const QByteArray& aText);
+  Copy MakeCopy() const { return { mRevision, mObjects }; }
+  /// Loses all changes after the copy and starts a new era. Waiting watches are
+  /// cut off.
+  void Restore(const Copy& aCopy);
   QJsonObject Find(const QString& aKind, const QString& aName) const;
   /// The longest time for which a watch was asked to wait.
   int LongestWaitMs() const { return mLongestWaitMs; }
@@ -85,6 +100,9 @@
   bool mIsUnresponsive = false;
   bool mIsDroppingAnswers = false;
   qint64 mRevision = 1;
+  quint64 mEra = 1;
+  /// The texts of PutText, by what stands for them in mObjects.
+  std::map<QByteArray, QByteArray> mTexts;
   std::map<std::pair<QString, QString>, QJsonObject> mObjects;
   std::vector<Change> mChanges;
   std::vector<Watch> mWatches;
