--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(PrimaryKilledIsReplaced);
   CPPUNIT_TEST(StoreRestoredItsChangesAreFollowed);
   CPPUNIT_TEST(StoreRestoredFencingTokensGrow);
+  CPPUNIT_TEST(EntriesUnreadableTheOthersStayInUse);
   CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
   CPPUNIT_TEST_SUITE_END();
@@ -330,6 +331,23 @@
     CPPUNIT_ASSERT(std::ranges::is_sorted(mStore->mFencingTokens));
   }
 
+  /// Guards against an entry of another writer that makes the list of the
+  /// databases unreadable, so that no instance finds or follows any of them.
+  void EntriesUnreadableTheOthersStayInUse()
+  {
+    mStore->PutText(
+      "servers", "deep", QByteArray(5000, '[') + QByteArray(5000, ']'));
+    mStore->PutText("servers", "large", R"({"slots":1e999})");
+    mStore->PutText("servers", "bytes", "{\"zone\":\"\xff\"}");
+    StartInstance();
+    CPPUNIT_ASSERT(Await([this] { return IsReady(); }));
+    Session session(mCallerPort, "bookings");
+    CPPUNIT_ASSERT(session.Query("WRITE 1 x").contains("COMPLETE signed"));
+    mDatabases->Kill("db-a");
+    CPPUNIT_ASSERT(Await(
+      [&] { return session.Query("WRITE 1 y").contains("COMPLETE signed"); }));
+  }
+
   void MetricsHoldCountsAndLatencies()
   {
     Session session(mCallerPort, "bookings");
