--- a/Tests/PlatformAdapter/TestDocumentParser.cpp
+++ b/Tests/PlatformAdapter/TestDocumentParser.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(TestDocumentParser);
   CPPUNIT_TEST(ConfigurationIsRead);
   CPPUNIT_TEST(ConfigurationWithUnknownKindOfRouteIsRefused);
+  CPPUNIT_TEST(ConfigurationWithHugeNumbersIsBounded);
   CPPUNIT_TEST(EntryIsRead);
   CPPUNIT_TEST(EntriesOfOtherWritersAreRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -78,6 +79,22 @@
       DocumentParser().ParseConfiguration(Document(route)).IsError());
   }
 
+  /// Guards against times and ranks that overflow, or that peers reject as
+  /// malformed.
+  void ConfigurationWithHugeNumbersIsBounded()
+  {
+    auto route = Route();
+    route["timeoutMs"] = qint64(1) << 60;
+    route["maxStalenessMs"] = qint64(1) << 60;
+    route["priority"] = -1;
+    const auto read = DocumentParser().ParseConfiguration(Document(route));
+    CPPUNIT_ASSERT(!read.IsError());
+    const auto& parsed = read.Value().mRoutes.front();
+    constexpr Milliseconds kDay = std::chrono::hours(24);
+    CPPUNIT_ASSERT(parsed.mTimeout == kDay && parsed.mMaxAge == kDay);
+    CPPUNIT_ASSERT_EQUAL(0U, parsed.mRank);
+  }
+
   void EntryIsRead()
   {
     const auto read = DocumentParser().ParseDirectoryEntry(Entry({}, {}));
@@ -97,6 +114,11 @@
     };
     for (const auto& it : { Case{ "backend", 5 },
                             Case{ "address", "nowhere" },
+                            Case{ "address", "10.128.0.9:70000" },
+                            Case{ "address", "10.128.0.9:0" },
+                            Case{ "address", "10.128.0.9:-1" },
+                            Case{ "slots", 4294967297.0 },
+                            Case{ "slots", 1e300 },
                             Case{ "slots", "three" },
                             Case{ "slots", -1 },
                             Case{ "state", "resting" },
--- a/Tests/PlatformAdapter/TestStoreAnswers.cpp
+++ b/Tests/PlatformAdapter/TestStoreAnswers.cpp
@@ -48,10 +48,10 @@
 public:
   void ListIsRead()
   {
-    const auto page = ParseObjectPage(
-      List(Entry("a", R"({"x":"}],{\"","y":[1,{}]})") + " , " +
-           Entry("b", "5")),
-      kEra);
+    const auto page =
+      ParseObjectPage(List(Entry("a", R"({"x":"}],{\"","y":[1,{}]})") + " , " +
+                           Entry("b", "5")),
+                      kEra);
     CPPUNIT_ASSERT(!page.IsError() && !page.Value().mHasMore);
     const auto& batch = page.Value().mBatch;
     CPPUNIT_ASSERT(batch.mStoreRevision == (StoreRevision{ kEra, 12 }));
@@ -99,8 +99,7 @@
   void EntryWithoutNameIsLeftOut()
   {
     for (const auto* it : { "5", "{}", R"({"meta":[]})", R"({"meta":{}})" }) {
-      const auto page =
-        ParseObjectPage(List(Entry("a", "1") + "," + it), kEra);
+      const auto page = ParseObjectPage(List(Entry("a", "1") + "," + it), kEra);
       CPPUNIT_ASSERT_EQUAL(size_t(1), page.Value().mBatch.mObjects.size());
     }
   }
@@ -119,9 +118,8 @@
   void DamagedAnswersAreErrorsOrLists()
   {
     std::mt19937 random(1);
-    const auto list =
-      List(Entry("a", R"({"x":"\"y","z":[[1],{"k":null}]})") + "," +
-           Entry("b", "-1.5e3"));
+    const auto list = List(Entry("a", R"({"x":"\"y","z":[[1],{"k":null}]})") +
+                           "," + Entry("b", "-1.5e3"));
     for (int n = 0; n < 20'000; ++n) {
       auto text = list;
       for (unsigned damage = 0; damage <= random() % 4; ++damage) {
