DirectoryView: Ignore an earlier report of the same incarnation

Cause: the same class of fault as with mirrors and the lease: after a restore the store lists what a database reported before the copy was made, until it reports again. A database that had announced its shutdown counted as ready meanwhile and got new work.

Change: a directory entry carries the sequence number of the report. An entry of the same incarnation with a lower number leaves what is known; one with another start time replaces it.

--- a/Libraries/LibRelay/DirectoryView.cpp
+++ b/Libraries/LibRelay/DirectoryView.cpp
@@ -7,7 +7,16 @@
 void
 DirectoryView::Set(const DirectoryEntry& aEntry)
 {
-  mEntries[aEntry.mMember.mName] = { aEntry, std::nullopt };
+  auto& tracked = mEntries[aEntry.mMember.mName];
+  tracked.mRemovedAt.reset();
+  const auto& known = tracked.mEntry;
+  const bool isEarlier =
+    aEntry.mMember.mName == known.mMember.mName &&
+    aEntry.mMember.mStartedMs == known.mMember.mStartedMs &&
+    aEntry.mSequence < known.mSequence;
+  if (!isEarlier) {
+    tracked.mEntry = aEntry;
+  }
 }
 
 void
--- a/Libraries/LibRelay/DirectoryView.h
+++ b/Libraries/LibRelay/DirectoryView.h
@@ -16,7 +16,9 @@
   /// Longer than the 2 s within which a running database is listed again.
   static constexpr Duration kRemovalDelay = std::chrono::milliseconds(2500);
 
-  /// Adds or replaces an entry, and cancels its pending removal. An entry
+  /// Adds or replaces an entry, and cancels its pending removal. An earlier
+  /// report of the same incarnation, which a restored store may list, replaces
+  /// nothing: a database that is leaving must not be used again. An entry
   /// without a usable description, which another writer may have made, has to
   /// be passed to Remove instead.
   void Set(const DirectoryEntry& aEntry);
--- a/Libraries/LibRelay/RelayRouter.h
+++ b/Libraries/LibRelay/RelayRouter.h
@@ -10,6 +10,8 @@
   std::string mGroup;
   Address mAddress;
   GroupMember mMember;
+  /// Increases with each report of one incarnation of the database.
+  int64_t mSequence = 0;
 
   auto operator<=>(const DirectoryEntry&) const = default;
 };
--- a/Tests/PlatformAdapter/TestDocumentParser.cpp
+++ b/Tests/PlatformAdapter/TestDocumentParser.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("i-7f3a91c2"), member.mName);
     CPPUNIT_ASSERT(member.mIsLeaving && member.mListedRole == Role::Primary);
     CPPUNIT_ASSERT_EQUAL(int64_t(1774701556077), member.mStartedMs);
+    CPPUNIT_ASSERT_EQUAL(int64_t(4), read.Value().mSequence);
   }
 
   void EntriesOfOtherWritersAreRefused()
