Soak: Restore the store and check configurations and fencing tokens

With every third seed the store goes back to an earlier copy of itself at random times, drawn apart so that the other faults of a seed stay what they were. At the end every instance must serve the last configuration, and no promotion may have had a lower fencing token than one before. The deployment starts with a released lease record, as after an earlier promotion; without it the first promotion waits.

--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -15,6 +15,12 @@
 /// machine.
 constexpr int kGraceMs = 9000;
 constexpr int kRestartMs = 300;
+constexpr int kCopyIntervalMs = 500;
+/// Copies of the store between two restores at most.
+constexpr int kMaxCopies = 40;
+/// The store is restored with every third seed. After a restore no primary is
+/// replaced for the lease timeout, and the other seeds need promotions.
+constexpr uint64_t kRestoredEvery = 3;
 
 }
 
@@ -24,10 +30,40 @@
   : mDeployment(aDeployment)
   , mMix(aMix)
   , mRandom(aSeed)
+  , mStoreRandom(aSeed)
+  , mIsStoreRestored(aMix == FaultMix::Everything &&
+                     aSeed % kRestoredEvery == 0)
   , mIsDown(static_cast<size_t>(aDeployment.InstanceCount()), false)
 {
 }
 
+void
+FaultSchedule::Start()
+{
+  ScheduleNext();
+  if (mIsStoreRestored) {
+    ScheduleRestore();
+  }
+}
+
+void
+FaultSchedule::ScheduleRestore()
+{
+  QTimer::singleShot(kCopyIntervalMs, this, [this] {
+    if (mIsHealed) {
+      return;
+    }
+    mStoreCopies.push_back(mDeployment.Store().MakeCopy());
+    if (mStoreRandom() % kMaxCopies < mStoreCopies.size()) {
+      const auto n = mStoreRandom() % mStoreCopies.size();
+      RecordFault("restore copy " + std::to_string(n) + " of the store", 0);
+      mDeployment.RestoreStore(mStoreCopies[n]);
+      mStoreCopies.clear();
+    }
+    ScheduleRestore();
+  });
+}
+
 int
 FaultSchedule::Pick(int aCount)
 {
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -23,7 +23,7 @@
 public:
   FaultSchedule(SoakDeployment& aDeployment, uint64_t aSeed, FaultMix aMix);
 
-  void Start() { ScheduleNext(); }
+  void Start();
   /// Ends all active faults and injects no further ones.
   void Heal();
 
@@ -45,6 +45,10 @@
   void IsolateDatabase();
   void FreezeStore();
   void LoseStoreAnswers();
+  /// Restores the store from older copies of itself at random times. Draws from
+  /// a generator of its own, so that the sequence of the other faults of a seed
+  /// stays the same.
+  void ScheduleRestore();
 
   void RecordFault(const std::string& aWhat, int aDurationMs);
   int Pick(int aCount);
@@ -56,6 +60,9 @@
   SoakDeployment& mDeployment;
   FaultMix mMix;
   std::mt19937_64 mRandom;
+  std::mt19937_64 mStoreRandom;
+  bool mIsStoreRestored;
+  std::vector<LineStore::Copy> mStoreCopies;
   bool mIsHealed = false;
   std::vector<bool> mIsDown;
   std::map<int, std::function<void()>> mPendingEnds;
--- a/Tests/Soak/SoakDeployment.cpp
+++ b/Tests/Soak/SoakDeployment.cpp
@@ -44,6 +44,10 @@
   }
   PublishConfiguration();
   PublishDatabases();
+  // As after an earlier promotion. Without a record, the first one waits for
+  // the lease timeout.
+  mStore.Put(
+    "papayaline-duties", "promotion", { { "released", true }, { "era", 1 } });
   for (int n = 0; n < aInstances; ++n) {
     mPorts.push_back({ FreePort(), FreePort(), FreePort() });
     AddLink("callers-" + std::to_string(n), mPorts.back().mCallers);
@@ -122,10 +126,38 @@
          socket.readAll().split(' ').value(1) == "200";
 }
 
+bool
+SoakDeployment::HasLatestConfiguration(int aInstance) const
+{
+  constexpr int kWaitMs = 200;
+  QTcpSocket socket;
+  socket.connectToHost(QHostAddress::LocalHost, mPorts[aInstance].mCallers);
+  if (!socket.waitForConnected(kWaitMs)) {
+    return false;
+  }
+  socket.write("STARTUP extra-" + QByteArray::number(mVersion) + " soak\r\n");
+  return socket.waitForReadyRead(kWaitMs) &&
+         socket.readAll().startsWith("READY");
+}
+
+void
+SoakDeployment::RestoreStore(const LineStore::Copy& aCopy)
+{
+  mStore.Restore(aCopy);
+  WriteConfiguration();
+  PublishDatabases();
+}
+
 void
 SoakDeployment::PublishConfiguration()
 {
   ++mVersion;
+  WriteConfiguration();
+}
+
+void
+SoakDeployment::WriteConfiguration()
+{
   const QJsonArray routes{
     Route(kLatestRoute, "primary"),
     Route(kOwnWritesRoute, "read_your_writes"),
--- a/Tests/Soak/SoakDeployment.h
+++ b/Tests/Soak/SoakDeployment.h
@@ -37,6 +37,11 @@
   /// Writes the next version of the configuration to the store; its extra route
   /// is named after the version.
   void PublishConfiguration();
+  /// Restores an earlier copy of the store, whereupon operator and databases
+  /// write again what they wrote last.
+  void RestoreStore(const LineStore::Copy& aCopy);
+  /// Whether an instance has the latest version of the configuration.
+  bool HasLatestConfiguration(int aInstance) const;
   /// Writes the databases with their current roles to the store.
   void PublishDatabases();
 
@@ -53,6 +58,7 @@
     quint16 mMetrics = 0;
   };
 
+  void WriteConfiguration();
   quint16 AddLink(const std::string& aName, quint16 aPort);
   QString WriteSettings(int aInstance);
 
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <docopt.h>
 #include <fstream>
+#include <ranges>
 #include <sstream>
 
 namespace {
@@ -120,6 +121,17 @@
   if (!isRecovered) {
     history.mViolations.push_back("a caller is not served after the faults");
   }
+  const bool isConfigured = Await(kRecoveryMs, [&] {
+    return std::ranges::all_of(
+      std::views::iota(0, aOptions.mInstances),
+      [&](int n) { return deployment.HasLatestConfiguration(n); });
+  });
+  if (!isConfigured) {
+    history.mViolations.push_back("an instance lacks the last configuration");
+  }
+  if (!std::ranges::is_sorted(deployment.Store().mFencingTokens)) {
+    history.mViolations.push_back("a promotion had a lower fencing token");
+  }
   CheckLog(deployment.Databases().Primary().mLog, history);
   const auto count = [&](ReportedOutcome aOutcome) {
     return std::ranges::count(
