Tests: Cover a mirror that gets changes of another era

Found by switching parts of the handling of eras off one by one: changes of another era that a mirror applies were caught by no test. MirrorMovesToALaterEraByAListOnly fails without the check.

--- a/Tests/LibPeer/TestSharedWatches.cpp
+++ b/Tests/LibPeer/TestSharedWatches.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(WatchersUnansweredByTheStoreChangeReachesAllInstances);
   CPPUNIT_TEST(ChangeAfterStoreOutageReachesAllInstances);
   CPPUNIT_TEST(MirrorIgnoresOlderRevisions);
+  CPPUNIT_TEST(MirrorMovesToALaterEraByAListOnly);
   CPPUNIT_TEST(MirrorReportsDeletionsAndDropsOldTombstones);
   CPPUNIT_TEST_SUITE_END();
 
@@ -257,6 +258,25 @@
     CPPUNIT_ASSERT(!mirror.ChangesAfter({ 0, 2 }));
   }
 
+  /// Guards against a mirror that mixes the histories before and after a
+  /// restore of the store.
+  void MirrorMovesToALaterEraByAListOnly()
+  {
+    ObjectMirror mirror;
+    const Instant now(1h);
+    mirror.ApplyList({ { { "a", { 1, 5 }, "old", false } }, { 1, 9 } }, now);
+    mirror.ApplyChanges({ { { "a", { 2, 10 }, "new", false } }, { 2, 10 } },
+                        now);
+    CPPUNIT_ASSERT(mirror.Revision() == (StoreRevision{ 1, 9 }));
+    CPPUNIT_ASSERT(mirror.ChangesAfter({})->mObjects.front().mContent == "old");
+    mirror.ApplyList({ { { "a", { 2, 3 }, "new", false } }, { 2, 4 } }, now);
+    const auto restored = mirror.ChangesAfter({ 1, 9 });
+    CPPUNIT_ASSERT(restored && restored->mObjects.empty());
+    CPPUNIT_ASSERT(restored->mStoreRevision == (StoreRevision{ 2, 4 }));
+    CPPUNIT_ASSERT(mirror.ChangesAfter({})->mObjects.front().mContent == "new");
+    CPPUNIT_ASSERT(!mirror.ChangesAfter({ 3, 1 }));
+  }
+
   void MirrorReportsDeletionsAndDropsOldTombstones()
   {
     ObjectMirror mirror;
