LibPeer: Let a call own its message until it is sent

Cause: a call and its unsent message had two owners, Peer::mCalls and Peer::mQueuedMessages. ExpireCalls ended the call as not run and left the message in the queue, which OnHello sent later, while ForwardingRunner had run the write at another home. Without a stall the opening timeout clears the queue first; it counts run time and so comes after the deadline when the process was suspended.

Change: the message is part of the call, so that no way to end a call can leave it behind. A statement whose deadline has passed is not sent when the connection opens, its ages are those at the time of sending, and a statement whose timeout has passed is refused instead of being routed again.

--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -17,6 +17,13 @@
          aRequest.mRoute.mFreshness == Freshness::Latest;
 }
 
+/// Whether the route's timeout has passed. Nobody waits for the answer then.
+bool
+IsOverdue(const RelayRequest& aRequest, Instant aNow)
+{
+  return aNow - aRequest.mReceivedAt >= aRequest.mRoute.mTimeout;
+}
+
 /// Whether the statement may have changed a database once it was sent.
 bool
 MayHaveTakenEffect(const RelayRequest& aRequest)
@@ -82,6 +89,22 @@
   }
 }
 
+/// Runs a statement again that has had no effect at aPeer, unless the route's
+/// timeout has passed.
+void
+ForwardingRunner::Reroute(const PendingRequestPointer& aPending,
+                          const std::string& aPeer)
+{
+  if (IsOverdue(aPending->mRequest, mClock())) {
+    FinishWithError(
+      aPending,
+      aPeer,
+      { ErrorKind::DeadlinePassed, "no instance ran the statement in time" });
+  } else {
+    Route(aPending);
+  }
+}
+
 /// Returns the instance that is to run the statement; it may be this one. Empty
 /// when all instances are home to the group and this one has not refused the
 /// statement, when kMaxForwards instances were tried, or when none is usable.
@@ -206,7 +229,7 @@
                     { ErrorKind::UpstreamLost,
                       "the transaction is not open at its instance" });
   } else {
-    Route(aPending);
+    Reroute(aPending, aPeer);
   }
 }
 
@@ -230,7 +253,7 @@
       { ErrorKind::UpstreamLost,
         "lost the connection to the instance that ran the statement" });
   } else {
-    Route(aPending);
+    Reroute(aPending, aPeer);
   }
 }
 
--- a/Libraries/LibPeer/ForwardingRunner.h
+++ b/Libraries/LibPeer/ForwardingRunner.h
@@ -59,6 +59,7 @@
   using PendingRequestPointer = std::shared_ptr<PendingRequest>;
 
   void Route(const PendingRequestPointer& aPending);
+  void Reroute(const PendingRequestPointer& aPending, const std::string& aPeer);
   std::optional<std::string> ChooseInstance(
     const PendingRequest& aPending) const;
   void RunLocally(const PendingRequestPointer& aPending);
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -8,6 +8,22 @@
 
 namespace papayaline {
 
+namespace {
+
+/// The ages in a forwarded statement are those at the time of sending. They are
+/// rounded down; see MakeForwardStatement.
+void
+AddToAges(PeerMessage& aMessage, Duration aTime)
+{
+  if (auto* statement = std::get_if<ForwardStatement>(&aMessage)) {
+    const auto time = std::chrono::floor<Milliseconds>(aTime);
+    statement->mStartedAgo += time;
+    statement->mReceivedAgo += time;
+  }
+}
+
+}
+
 PeerPool::PeerPool(std::string aInstance,
                    PeerOpener aOpener,
                    Clock aClock,
@@ -101,16 +117,6 @@
   aPeer.mChannel = mOpener(aPeer.mInfo.mAddress, std::move(events));
 }
 
-void
-PeerPool::Send(Peer& aPeer, PeerMessage aMessage)
-{
-  if (aPeer.mIsOpen) {
-    aPeer.mChannel->Send(aMessage);
-  } else {
-    aPeer.mQueuedMessages.push_back(std::move(aMessage));
-  }
-}
-
 void
 PeerPool::StartCall(Peer& aPeer,
                     uint64_t aCallId,
@@ -118,9 +124,13 @@
                     PeerMessage aMessage)
 {
   aCall.mStartedAt = mLastTick.mRunTime;
-  aCall.mIsSent = aPeer.mIsOpen;
+  if (!aPeer.mIsOpen) {
+    aCall.mUnsent = { std::move(aMessage), mClock() };
+  }
   aPeer.mCalls[aCallId] = std::move(aCall);
-  Send(aPeer, std::move(aMessage));
+  if (aPeer.mIsOpen) {
+    aPeer.mChannel->Send(aMessage);
+  }
 }
 
 uint64_t
@@ -169,9 +179,16 @@
 PeerPool::Cancel(uint64_t aCallId)
 {
   for (auto& [name, it] : mPeers) {
-    if (it.mCalls.erase(aCallId) > 0) {
-      Send(it, CancelStatement{ aCallId });
+    const auto call = it.mCalls.find(aCallId);
+    if (call == it.mCalls.end()) {
+      continue;
+    }
+    const bool isSent = !call->second.mUnsent;
+    it.mCalls.erase(call);
+    if (isSent) {
+      it.mChannel->Send(CancelStatement{ aCallId });
     }
+    return;
   }
 }
 
@@ -181,20 +198,24 @@
   if (IsTransactionAlive(aTransaction)) {
     auto& peer = mPeers.at(aTransaction.mPeer);
     peer.mTransactions.erase(aTransaction.mId);
-    Send(peer, RollBackTransaction{ aTransaction.mId });
+    peer.mChannel->Send(RollBackTransaction{ aTransaction.mId });
   }
 }
 
+/// Sends the calls that wait for the connection. After a stall the deadline of
+/// some may have passed; they are left to expire as not run.
 void
 PeerPool::OnHello(Peer& aPeer)
 {
+  const auto now = mClock();
   aPeer.mIsOpen = true;
-  const auto queued = std::exchange(aPeer.mQueuedMessages, {});
   for (auto& [id, it] : aPeer.mCalls) {
-    it.mIsSent = true;
-  }
-  for (const auto& it : queued) {
-    aPeer.mChannel->Send(it);
+    if (!it.mUnsent || now >= it.mDeadline) {
+      continue;
+    }
+    auto unsent = *std::exchange(it.mUnsent, std::nullopt);
+    AddToAges(unsent.mMessage, now - unsent.mQueuedAt);
+    aPeer.mChannel->Send(unsent.mMessage);
   }
 }
 
@@ -229,7 +250,7 @@
   if (it == aPeer.mCalls.end()) {
     // The call was cancelled.
     if (aAnswer.mTransaction != 0) {
-      Send(aPeer, RollBackTransaction{ aAnswer.mTransaction });
+      aPeer.mChannel->Send(RollBackTransaction{ aAnswer.mTransaction });
     }
     return;
   }
@@ -271,8 +292,8 @@
 {
   if (aCall.mOnForward) {
     ForwardOutcome outcome;
-    outcome.mKind = aCall.mIsSent ? ForwardOutcome::Kind::Unknown
-                                  : ForwardOutcome::Kind::NotRun;
+    outcome.mKind = aCall.mUnsent ? ForwardOutcome::Kind::NotRun
+                                  : ForwardOutcome::Kind::Unknown;
     aCall.mOnForward(outcome);
   }
   if (aCall.mOnObjects) {
@@ -310,7 +331,6 @@
   peer.mConnection = 0;
   peer.mChannel.reset();
   peer.mIsOpen = false;
-  peer.mQueuedMessages.clear();
   peer.mTransactions.clear();
   const auto calls = std::exchange(peer.mCalls, {});
   for (const auto& [id, it] : calls) {
@@ -360,7 +380,7 @@
     return isExpired;
   });
   const bool isUnresponsive = std::ranges::any_of(expired, [&](const auto& it) {
-    return it.mIsSent && aPeer.mLastReceivedAt <= it.mStartedAt;
+    return !it.mUnsent && aPeer.mLastReceivedAt <= it.mStartedAt;
   });
   if (isUnresponsive) {
     Close(aName, "no answer in time");
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -108,6 +108,13 @@
   void Tick();
 
 private:
+  /// The message of a call until it is sent.
+  struct UnsentMessage
+  {
+    PeerMessage mMessage;
+    Instant mQueuedAt;
+  };
+  /// A call owns its unsent message, so a call that has ended can't be sent.
   struct Call
   {
     ForwardHandler mOnForward;
@@ -115,7 +122,7 @@
     /// In run time.
     Instant mStartedAt;
     Instant mDeadline;
-    bool mIsSent = false;
+    std::optional<UnsentMessage> mUnsent;
   };
   struct TickTime
   {
@@ -141,19 +148,19 @@
     bool mIsPinged = false;
     Instant mRetryAt;
     unsigned mConsecutiveFailures = 0;
-    std::vector<PeerMessage> mQueuedMessages;
+    /// By call id, which is the order in which they are sent.
     std::map<uint64_t, Call> mCalls;
     std::set<uint64_t> mTransactions;
   };
 
   Peer& EnsureConnected(const std::string& aPeer);
-  /// Registers a call under aCallId and sends its message.
+  /// Registers a call under aCallId and sends its message, or keeps the message
+  /// until the peer has accepted the connection.
   void StartCall(Peer& aPeer,
                  uint64_t aCallId,
                  Call aCall,
                  PeerMessage aMessage);
   void Open(const std::string& aName, Peer& aPeer);
-  void Send(Peer& aPeer, PeerMessage aMessage);
   void OnHello(Peer& aPeer);
   void OnMessage(const std::string& aPeer, const PeerMessage& aMessage);
   void OnAnswer(Peer& aPeer, const ForwardAnswer& aAnswer);
--- a/Tests/LibPeer/TestForwarding.cpp
+++ b/Tests/LibPeer/TestForwarding.cpp
@@ -23,6 +23,9 @@
   CPPUNIT_TEST(WriteWhoseHomeIsFrozenEndsWithUnknownOutcomeAndIsNotRetried);
   CPPUNIT_TEST(WriteToUnreachableHomeRunsElsewhereOnce);
   CPPUNIT_TEST(WriteToFrozenHomeNotYetConnectedRunsElsewhereOnce);
+  CPPUNIT_TEST(WriteExpiredBeforeItsHomeConnectsIsNotSentToIt);
+  CPPUNIT_TEST(WriteReroutedBeforeItsHomeConnectsRunsOnce);
+  CPPUNIT_TEST(WriteSentAfterAStallExpiresAtItsHome);
   CPPUNIT_TEST(HomePartitionedStatementsDoNotWaitForItsReturn);
   CPPUNIT_TEST(HomeIsUsedAgainAfterPartition);
   CPPUNIT_TEST(HomeSlowToAnswerDoesNotCountAsFailed);
@@ -235,6 +238,80 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), mFleet->CountRuns("once"));
   }
 
+  /// Guards against a write that is answered as not run, or runs elsewhere, and
+  /// is sent to its first home later: both instances freeze while the
+  /// connection between them is being opened, for various times.
+  void WriteExpiredBeforeItsHomeConnectsIsNotSentToIt()
+  {
+    const auto home =
+      mFleet->FindServingHome(mFleet->NonHome("d4"), "WRITE 1 x");
+    size_t expired = 0;
+    for (const auto frozen : { 900ms, 1300ms, 2500ms }) {
+      for (const auto longer : { -100ms, 100ms, 400ms }) {
+        SimulatedFleet fleet(20, { "d1", "d2", "d3", "d4" });
+        auto& entry = fleet.NonHome("d3");
+        const auto caller = fleet.Connect(entry);
+        fleet.Freeze(home, 100ms + frozen + longer);
+        caller->Send("WRITE 1 once");
+        fleet.Run(100ms);
+        fleet.Freeze(entry.mInfo.mName, frozen);
+        fleet.Run(frozen + 6s);
+        CPPUNIT_ASSERT(caller->IsAnswered());
+        const auto runs = fleet.CountRuns("once");
+        CPPUNIT_ASSERT(runs <= 1);
+        if (const auto error = caller->LastError()) {
+          const bool isNotRun = AnswerFor(*error).mOutcome == Outcome::NotRun;
+          CPPUNIT_ASSERT(!isNotRun || runs == 0);
+          expired += error == ErrorKind::DeadlinePassed ? 1 : 0;
+        }
+      }
+    }
+    CPPUNIT_ASSERT(expired > 0);
+  }
+
+  /// Guards against the same with a list of instances in which the home has
+  /// another address.
+  void WriteReroutedBeforeItsHomeConnectsRunsOnce()
+  {
+    const auto home =
+      mFleet->FindServingHome(mFleet->NonHome("d4"), "WRITE 1 x");
+    auto& entry = mFleet->NonHome("d3");
+    mFleet->Freeze(home, 200ms);
+    const auto caller = mFleet->Connect(entry);
+    caller->Send("WRITE 1 once");
+    mFleet->Run(50ms);
+    auto instances = mFleet->ListInstances();
+    const auto moved = std::ranges::find(instances, home, &InstanceInfo::mName);
+    moved->mAddress = mFleet->Plan().mRanked.back().mName;
+    entry.mPeers->SetPeers(instances);
+    mFleet->Run(2s);
+    AssertAnswered(*caller);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFleet->CountRuns("once"));
+  }
+
+  /// Guards against a home that gives a statement more time than the caller's
+  /// instance does: the time before a connection opened counts too.
+  void WriteSentAfterAStallExpiresAtItsHome()
+  {
+    const auto home =
+      mFleet->FindServingHome(mFleet->NonHome("d4"), "WRITE 1 x");
+    auto& entry = mFleet->NonHome("d3");
+    mFleet->Freeze(home, 150ms);
+    const auto caller = mFleet->Connect(entry);
+    // The home does not know a primary, so the statement waits there.
+    for (const auto* it : { "a", "b", "c" }) {
+      mFleet->At(home).mUnreachableDatabases.insert(it);
+      Databases().At(it).mIsReachable = false;
+    }
+    caller->Send("WRITE 1 late");
+    mFleet->Run(100ms);
+    mFleet->Freeze(entry.mInfo.mName, 700ms);
+    mFleet->Run(1150ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(caller->LastError() != ErrorKind::OutcomeUnknown);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), mFleet->CountRuns("late"));
+  }
+
   /// Sends many statements during a partition. Only statements in flight at its
   /// start may wait for an instance on the other side.
   void HomePartitionedStatementsDoNotWaitForItsReturn()
