LibDecision: Count the primary as evidence only when it reported

Cause: IsPrimaryConfirmed took the primary itself for one of the majority that has not moved to a later term. A replaced primary follows the next one and counts to the majority of its writes, so that the two majorities may meet in nothing but a database that has moved on. Its answers to plain reads look as before.

Change: a majority has to report at or after the instant in question. The primary reports with a status, or with a statement that a database runs only while it leads (a write, a transaction that may write); for such statements the others are enough. With four members, as during a replacement, three reports are needed, which also meets the majorities of instances that know three. ConfirmedAt gives the instant; frontiers use it too. Evidence is requested of the best members, the primary among them, and not again of those that have reported since. Evidence counts as missing until reports arrive that were requested since it was first missing, as reports of several members have different times.

FrontierNeedsEvidenceRequestedNoEarlier asserted the fault: a position of the primary and one replica made a frontier. It asserts now that they don't, and that they do together with a report of the primary.

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -61,6 +61,7 @@
       ForgetPrimary();
     }
     mPrimary = aStatus.mUpstream;
+    mLeadingAt = std::max(mLeadingAt, std::optional(aStatus.mRequestedAt));
     AddSample(aStatus.mReceived, aStatus.mRequestedAt);
   } else if (mPrimary == aStatus.mUpstream) {
     ForgetPrimary();
@@ -96,6 +97,15 @@
   }
 }
 
+void
+GroupView::ObserveLeading(const std::string& aName, Instant aRequestedAt)
+{
+  if (mPrimary == aName) {
+    mLeadingAt = std::max(mLeadingAt, std::optional(aRequestedAt));
+    RecordFrontiers();
+  }
+}
+
 void
 GroupView::ObserveFailure(const std::string& aName)
 {
@@ -210,8 +220,7 @@
 size_t
 GroupView::NeededMembers() const
 {
-  const auto size = GroupSize();
-  return std::max<size_t>(size - MajorityOf(size), 1);
+  return std::max<size_t>(MajorityOf(GroupSize()) - 1, 1);
 }
 
 size_t
@@ -227,20 +236,71 @@
     }));
 }
 
+std::optional<Instant>
+GroupView::ReportedAt(const std::string& aName,
+                      const GroupPrimary& aPrimary) const
+{
+  if (aName == aPrimary.mName) {
+    return aName == mPrimary ? mLeadingAt : std::nullopt;
+  }
+  const auto* status = StatusOf(aName);
+  return status && (IsFollowing(aName, aPrimary) || IsBehind(*status, aPrimary))
+           ? std::optional(status->mRequestedAt)
+           : std::nullopt;
+}
+
+std::vector<Instant>
+GroupView::OtherReports(const GroupPrimary& aPrimary) const
+{
+  std::vector<Instant> reports;
+  for (const auto& it : mMembers) {
+    const auto at = ReportedAt(it.mName, aPrimary);
+    if (at && it.mName != aPrimary.mName) {
+      reports.push_back(*at);
+    }
+  }
+  std::ranges::sort(reports, std::greater());
+  return reports;
+}
+
+std::optional<Instant>
+GroupView::ConfirmedAt(const GroupPrimary& aPrimary) const
+{
+  auto reports = OtherReports(aPrimary);
+  if (const auto at = ReportedAt(aPrimary.mName, aPrimary)) {
+    reports.insert(std::ranges::upper_bound(reports, *at, std::greater()), *at);
+  }
+  const auto needed = NeededMembers() + 1;
+  return aPrimary.mTerm == mHighestTerm && reports.size() >= needed
+           ? std::optional(reports[needed - 1])
+           : std::nullopt;
+}
+
 bool
 GroupView::IsPrimaryConfirmed(const GroupPrimary& aPrimary,
                               Instant aSince) const
 {
-  if (aPrimary.mTerm != mHighestTerm) {
-    return false;
-  }
-  const auto n = std::ranges::count_if(mMemberStates, [&](const auto& it) {
-    const auto& status = it.second.mStatus;
-    return it.first != aPrimary.mName && status &&
-           status->mRequestedAt >= aSince &&
-           (IsFollowing(it.first, aPrimary) || IsBehind(*status, aPrimary));
-  });
-  return static_cast<size_t>(n) >= NeededMembers();
+  const auto confirmedAt = ConfirmedAt(aPrimary);
+  return confirmedAt && *confirmedAt >= aSince;
+}
+
+bool
+GroupView::IsPrimaryConfirmedByOthers(const GroupPrimary& aPrimary,
+                                      Instant aSince) const
+{
+  const auto reports = OtherReports(aPrimary);
+  const auto needed = NeededMembers();
+  return aPrimary.mTerm == mHighestTerm && reports.size() >= needed &&
+         reports[needed - 1] >= aSince;
+}
+
+bool
+GroupView::HasConfirmed(const std::string& aName,
+                        const GroupPrimary& aPrimary,
+                        Instant aSince) const
+{
+  const auto at = ReportedAt(aName, aPrimary);
+  return at && *at >= aSince;
 }
 
 bool
@@ -277,6 +337,7 @@
 GroupView::ForgetPrimary()
 {
   mPrimary.clear();
+  mLeadingAt.reset();
   mSamples.clear();
 }
 
@@ -290,22 +351,22 @@
   RecordFrontiers();
 }
 
-/// A position that the primary reported in answer to a request sent no later
-/// than the requests that yielded the evidence came from a primary that had not
-/// been replaced, so it includes every write acknowledged before that request.
+/// A position that the primary reported in answer to a request sent at or after
+/// the instant for which it is confirmed includes every write that was
+/// acknowledged before that instant; an earlier one includes those that were
+/// acknowledged before its own request.
 void
 GroupView::RecordFrontiers()
 {
   const auto primary = Primary();
-  if (!primary) {
+  const auto confirmedAt = primary ? ConfirmedAt(*primary) : std::nullopt;
+  if (!confirmedAt) {
     return;
   }
   std::erase_if(mSamples, [&](const auto& it) {
-    if (!IsPrimaryConfirmed(*primary, it.mRequestedAt)) {
-      return false;
-    }
-    mFrontiers.Record({ it.mPosition, it.mRequestedAt });
-    return true;
+    mFrontiers.Record(
+      { it.mPosition, std::min(it.mRequestedAt, *confirmedAt) });
+    return it.mRequestedAt <= *confirmedAt;
   });
 }
 
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -62,9 +62,16 @@
 /// primary's term, or when every other member reported after the commit that it
 /// is a replica in that term. A replica receives nothing from a primary once
 /// another one is promoted, so everything that it received was committed
-/// before. If enough replicas report the primary's term in answer to requests
-/// sent at some instant, no later primary had acknowledged a write before that
-/// instant, because any two majorities intersect.
+/// before.
+///
+/// If a majority of the group reports, in answer to requests sent at or after
+/// some instant, that it is in no later term than the primary's, no later
+/// primary had acknowledged a write before that instant: any two majorities
+/// intersect, also if one is of a group that has a member more. The primary is
+/// one of the majority only if an answer to such a request shows that it still
+/// leads. A primary that was replaced follows the next one and counts towards
+/// the majorities of that one's writes, while its answers to reads look as
+/// before.
 ///
 /// A value type without clock or socket. Thread safety: one thread.
 class GroupView
@@ -86,6 +93,9 @@
                        Instant aNow);
   /// Handles a write that a database refused because it is not the primary.
   void ObserveNotPrimary(const std::string& aName);
+  /// Handles the success of a statement that a database runs only while it is
+  /// the primary: a write, or a statement of a transaction that may write.
+  void ObserveLeading(const std::string& aName, Instant aRequestedAt);
   /// Handles a failed connection or a request that got no answer.
   void ObserveFailure(const std::string& aName);
 
@@ -117,12 +127,21 @@
   /// term of aPrimary.
   bool IsFollowing(const std::string& aName,
                    const GroupPrimary& aPrimary) const;
-  /// Whether enough members reported, in answer to requests sent at or after
-  /// aSince, that they are in no later term than aPrimary. If so, no later
-  /// primary had acknowledged a write before aSince. A member that has not
-  /// joined the term yet counts too, unless its log is empty: it may have
-  /// restarted without what it held.
+  /// Whether a majority of the group, of which the primary itself may be one,
+  /// reported in answer to requests sent at or after aSince that it is in no
+  /// later term than aPrimary. If so, no later primary had acknowledged a write
+  /// before aSince. A member that has not joined the term yet counts too,
+  /// unless its log is empty: it may have restarted without what it held.
   bool IsPrimaryConfirmed(const GroupPrimary& aPrimary, Instant aSince) const;
+  /// The same for a statement that the database runs only while it is the
+  /// primary, so that its success is the report of aPrimary.
+  bool IsPrimaryConfirmedByOthers(const GroupPrimary& aPrimary,
+                                  Instant aSince) const;
+  /// Whether the last report of a member counts for IsPrimaryConfirmed since
+  /// aSince.
+  bool HasConfirmed(const std::string& aName,
+                    const GroupPrimary& aPrimary,
+                    Instant aSince) const;
   /// Whether enough replicas reported the term of aPrimary in answer to
   /// requests sent at or after aSince to acknowledge a write.
   bool IsPrimaryFollowed(const GroupPrimary& aPrimary, Instant aSince) const;
@@ -158,9 +177,18 @@
   /// members. Otherwise a minority could pass for a majority.
   size_t GroupSize() const;
   void RecordContact(MemberState& aState, Instant aNow);
-  /// The number of other members that with the primary intersect every
-  /// majority.
+  /// The number of other members that make a majority with the primary.
   size_t NeededMembers() const;
+  /// When the last report of a member was requested, if it shows that the
+  /// member has joined no later term than that of aPrimary, or that aPrimary
+  /// leads.
+  std::optional<Instant> ReportedAt(const std::string& aName,
+                                    const GroupPrimary& aPrimary) const;
+  /// When the reports of the members other than aPrimary were requested; latest
+  /// first.
+  std::vector<Instant> OtherReports(const GroupPrimary& aPrimary) const;
+  /// The latest instant since which IsPrimaryConfirmed holds.
+  std::optional<Instant> ConfirmedAt(const GroupPrimary& aPrimary) const;
   /// Whether a member is known to have joined no later term than that of
   /// aPrimary.
   static bool IsBehind(const ReplicationStatus& aStatus,
@@ -181,6 +209,8 @@
   std::map<std::string, MemberState> mMemberStates;
   uint64_t mHighestTerm = 0;
   std::string mPrimary;
+  /// When the last request was sent whose answer shows that mPrimary leads.
+  std::optional<Instant> mLeadingAt;
   std::deque<Sample> mSamples;
   FrontierHistory mFrontiers;
 };
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -285,11 +285,15 @@
   void CheckUnconfirmedWrites();
   bool IsConfirmed(const UnconfirmedWrite& aWrite, Instant aNow) const;
   void RequestEvidence(Instant aNow);
-  bool NeedsEvidence() const;
+  /// The waiting requests and deferred attempts that need evidence.
+  std::vector<PendingRequestPointer> RequestsAwaitingEvidence() const;
+  Instant EvidenceNeededSince(
+    std::span<const PendingRequestPointer> aRequests) const;
   bool IsStatusExpected(const Member& aMember, Instant aNow) const;
   /// How long the oldest unconfirmed write has waited for evidence.
   Duration OldestUnconfirmedAge(Instant aNow) const;
-  std::vector<std::string> EvidenceOrder(const GroupPrimary& aPrimary) const;
+  std::vector<std::string> EvidenceOrder(const GroupPrimary& aPrimary,
+                                         bool aIncludesPrimary) const;
   bool NeedsFrontier(Instant aNow) const;
   bool IsReplaced(const GroupPrimary& aPrimary) const;
 
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -187,10 +187,12 @@
   const auto before = mView.Primary();
   mView.ObserveStatus(known, mEnvironment.mNow());
   const auto primary = mView.Primary();
-  if (primary && mView.IsPrimaryConfirmed(*primary, aCall.mSentAt)) {
+  if (primary && mEvidenceMissingSince &&
+      mView.IsPrimaryConfirmedByOthers(*primary, *mEvidenceMissingSince)) {
     mEvidenceMissingSince.reset();
   }
-  if (primary && mView.IsPrimaryFollowed(*primary, aCall.mSentAt)) {
+  if (primary && mFollowersMissingSince &&
+      mView.IsPrimaryFollowed(*primary, *mFollowersMissingSince)) {
     mFollowersMissingSince.reset();
   }
   if (primary != before) {
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -273,14 +273,17 @@
 
 /// A read must not run at a primary that was replaced before the instant whose
 /// acknowledged writes the read must include. A write, or a transaction that
-/// may write, is sent only where replicas follow that can receive it.
+/// may write, is sent only where replicas follow that can receive it. The
+/// database itself refuses both once it is no longer the primary.
 bool
 RelayGroup::MayRunAt(const GroupPrimary& aPrimary,
                      const RelayRequest& aRequest) const
 {
+  const auto since = EvidenceSince(RequirementsOf(aRequest));
   const bool isConfirmed =
     aRequest.mAccess == Access::Write ||
-    mView.IsPrimaryConfirmed(aPrimary, EvidenceSince(RequirementsOf(aRequest)));
+    (aRequest.MayWrite() ? mView.IsPrimaryConfirmedByOthers(aPrimary, since)
+                         : mView.IsPrimaryConfirmed(aPrimary, since));
   const bool mayBeReplicated =
     !aRequest.MayWrite() ||
     mView.IsPrimaryFollowed(aPrimary,
@@ -345,6 +348,13 @@
                                aAttempt->mTransaction->mHasWritten;
   const bool isSingleWrite =
     !aAttempt->mTransaction && pending->mRequest.mAccess == Access::Write;
+  // A transaction that wrote nothing commits at any database.
+  const bool isOnlyForPrimary =
+    pending->mRequest.MayWrite() && (!pending->IsCommit() || isWrittenCommit);
+  if (isOnlyForPrimary) {
+    mView.ObserveLeading(aAttempt->mLink->Upstream(),
+                         aAttempt->mStatementSentAt);
+  }
   if (!aAttempt->mTransaction || pending->IsCommit()) {
     ReleaseLink(aAttempt);
     aAttempt->mTransaction.reset();
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -80,13 +80,38 @@
   return !mView.Frontiers().AtOrAfter(aNow - mSettings.mMaxFrontierAge);
 }
 
-bool
-RelayGroup::NeedsEvidence() const
+std::vector<RelayGroup::PendingRequestPointer>
+RelayGroup::RequestsAwaitingEvidence() const
+{
+  std::vector<PendingRequestPointer> requests;
+  std::ranges::copy_if(
+    mPendingRequests, std::back_inserter(requests), [](const auto& it) {
+      return it->IsWaiting() && it->mNeedsEvidence;
+    });
+  std::ranges::transform(mDeferred,
+                         std::back_inserter(requests),
+                         [](const auto& it) { return it->mPending; });
+  return requests;
+}
+
+/// The instant at or after which a member must have reported its state, so that
+/// no new report of it is needed. The confirmation of a write needs a new one.
+Instant
+RelayGroup::EvidenceNeededSince(
+  std::span<const PendingRequestPointer> aRequests) const
 {
-  return !mUnconfirmedWrites.empty() || !mDeferred.empty() ||
-         std::ranges::any_of(mPendingRequests, [](const auto& it) {
-           return it->IsWaiting() && it->mNeedsEvidence;
-         });
+  if (!mUnconfirmedWrites.empty()) {
+    return Instant::max();
+  }
+  auto since = Instant::min();
+  for (const auto& it : aRequests) {
+    const auto& request = it->mRequest;
+    since = std::max(since,
+                     request.mAccess == Access::Write
+                       ? Instant::max()
+                       : EvidenceSince(RequirementsOf(request)));
+  }
+  return since;
 }
 
 Duration
@@ -97,19 +122,21 @@
            : aNow - mUnconfirmedWrites.front().mAnsweredAt;
 }
 
-/// The reachable replicas in the order in which evidence is requested of them:
+/// The reachable members in the order in which evidence is requested of them:
 /// first those known to be in the primary's term.
 std::vector<std::string>
-RelayGroup::EvidenceOrder(const GroupPrimary& aPrimary) const
+RelayGroup::EvidenceOrder(const GroupPrimary& aPrimary,
+                          bool aIncludesPrimary) const
 {
   using Rank = std::tuple<bool, bool, bool, Duration>;
   std::vector<std::pair<Rank, std::string>> ranked;
   for (const auto& it : mView.Members()) {
-    if (it.mName == aPrimary.mName || mView.IsFailing(it.mName)) {
+    const bool isPrimary = it.mName == aPrimary.mName;
+    if ((isPrimary && !aIncludesPrimary) || mView.IsFailing(it.mName)) {
       continue;
     }
     const auto& member = mMembers.at(it.mName);
-    ranked.push_back({ { !mView.IsFollowing(it.mName, aPrimary),
+    ranked.push_back({ { !isPrimary && !mView.IsFollowing(it.mName, aPrimary),
                          !member.mPool->HasFree(),
                          it.mFailureDomain != mEnvironment.mFailureDomain,
                          member.mConcurrency.AnswerTime() },
@@ -127,33 +154,48 @@
 RelayGroup::RequestEvidence(Instant aNow)
 {
   const bool needsFrontier = NeedsFrontier(aNow);
+  const auto requests = RequestsAwaitingEvidence();
   const auto primary = mView.Primary();
-  if (!primary || aNow < mNextEvidenceAt ||
-      (!needsFrontier && !NeedsEvidence())) {
+  const bool isNeeded =
+    needsFrontier || !requests.empty() || !mUnconfirmedWrites.empty();
+  if (!primary || aNow < mNextEvidenceAt || !isNeeded) {
     return;
   }
   mEvidenceMissingSince = mEvidenceMissingSince.value_or(aNow);
   mFollowersMissingSince = mFollowersMissingSince.value_or(aNow);
   const auto waited = OldestUnconfirmedAge(aNow);
   const auto size = mView.Members().size();
-  const auto needed = std::max<size_t>(size - MajorityOf(size), 1);
-  const auto order = EvidenceOrder(*primary);
+  const auto followers = std::max<size_t>(MajorityOf(size) - 1, 1);
+  // Replicas confirm a write. A read needs a majority, of which the primary may
+  // be one.
+  const bool needsMajority =
+    needsFrontier || std::ranges::any_of(requests, [](const auto& it) {
+      return !it->mRequest.MayWrite();
+    });
+  const auto needed = followers + (needsMajority ? 1 : 0);
+  const auto order = EvidenceOrder(*primary, needsMajority);
   const auto following = std::ranges::count_if(
     order, [&](const auto& it) { return mView.IsFollowing(it, *primary); });
   // While replicas are slow to receive a write, the interval grows with the
   // time waited, and after half of mReplicationWait evidence is requested of
   // all replicas, as it is when too few are known to be in the term.
   const bool requestsAll = waited >= mSettings.mReplicationWait / 2 ||
-                           static_cast<size_t>(following) < needed;
+                           static_cast<size_t>(following) < followers;
   auto remaining = requestsAll ? size : needed;
   mNextEvidenceAt = aNow + std::max(mEvidenceInterval.Interval(), waited / 2);
   if (needsFrontier && !mMembers.at(primary->mName).HasCallInFlight()) {
     RequestStatus(primary->mName, mCounts.mEvidenceRequests);
   }
+  const auto since =
+    needsFrontier ? Instant::max() : EvidenceNeededSince(requests);
   for (const auto& it : order) {
     if (remaining == 0) {
       return;
     }
+    if (mView.HasConfirmed(it, *primary, since)) {
+      --remaining;
+      continue;
+    }
     if (mMembers.at(it).mCalls.empty()) {
       RequestStatus(it, mCounts.mEvidenceRequests);
     }
--- a/Tests/LibDecision/TestGroupView.cpp
+++ b/Tests/LibDecision/TestGroupView.cpp
@@ -19,6 +19,11 @@
   CPPUNIT_TEST(FourMembersNeedTwoReplicasToAcknowledge);
   CPPUNIT_TEST(MissingEntryDoesNotShrinkTheMajority);
   CPPUNIT_TEST(FrontierNeedsEvidenceRequestedNoEarlier);
+  CPPUNIT_TEST(FrontierIsCompleteUpToTheOldestReportOfTheMajority);
+  CPPUNIT_TEST(ReplicaThatReceivesNothingDoesNotConfirmPrimaryAlone);
+  CPPUNIT_TEST(BothReplicasConfirmPrimaryThatWasNotAsked);
+  CPPUNIT_TEST(FourMembersNeedThreeReportsToConfirmPrimary);
+  CPPUNIT_TEST(PrimaryRefusedAWriteItsEarlierEvidenceIsVoid);
   CPPUNIT_TEST(DatabaseRestartedStatusIsDiscarded);
   CPPUNIT_TEST(AnswerOfAnyKindClearsOutstandingRequests);
   CPPUNIT_TEST_SUITE_END();
@@ -143,15 +148,72 @@
     CPPUNIT_ASSERT(!mView.AreAllMembersFollowing(mPrimary, mStart));
   }
 
+  /// An answer of the primary has its position, but does not show that it
+  /// leads.
   void FrontierNeedsEvidenceRequestedNoEarlier()
   {
     mView.ObservePosition("a", { 1, 20 }, mStart + 10ms, mStart + 12ms);
     CPPUNIT_ASSERT(!mView.Frontiers().AtOrAfter(mStart + 5ms));
     See("b", Role::Replica, 1, { 1, 12 }, 10ms);
+    CPPUNIT_ASSERT(!mView.Frontiers().AtOrAfter(mStart + 5ms));
+    mView.ObserveLeading("a", mStart + 10ms);
     const auto frontier = mView.Frontiers().AtOrAfter(mStart + 5ms);
     CPPUNIT_ASSERT(frontier && frontier->mPosition == LogPosition(1, 20));
   }
 
+  void FrontierIsCompleteUpToTheOldestReportOfTheMajority()
+  {
+    See("b", Role::Replica, 1, { 1, 12 }, 10ms);
+    See("a", Role::Primary, 1, { 1, 20 }, 12ms);
+    const auto frontier = mView.Frontiers().AtOrAfter(mStart + 5ms);
+    CPPUNIT_ASSERT(frontier && frontier->mPosition == LogPosition(1, 20));
+    CPPUNIT_ASSERT(frontier->mCompleteUntil == mStart + 10ms);
+  }
+
+  /// Guards against stale reads at a primary that was replaced: it follows the
+  /// next primary and counts to the majority of its writes, while a replica
+  /// that receives nothing stays in the term.
+  void ReplicaThatReceivesNothingDoesNotConfirmPrimaryAlone()
+  {
+    See("c", Role::Replica, 1, { 1, 9 }, 10ms);
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 5ms));
+    CPPUNIT_ASSERT(mView.IsPrimaryConfirmedByOthers(mPrimary, mStart + 5ms));
+    mView.ObservePosition("a", { 1, 10 }, mStart + 11ms, mStart + 12ms);
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 5ms));
+    See("a", Role::Primary, 1, { 1, 10 }, 12ms);
+    CPPUNIT_ASSERT(mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 11ms));
+  }
+
+  void BothReplicasConfirmPrimaryThatWasNotAsked()
+  {
+    See("b", Role::Replica, 1, { 1, 12 }, 10ms);
+    See("c", Role::Replica, 1, { 1, 12 }, 11ms);
+    CPPUNIT_ASSERT(mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
+  }
+
+  /// During a replacement the group has a member more for a while. Other
+  /// instances may know it already, or not yet.
+  void FourMembersNeedThreeReportsToConfirmPrimary()
+  {
+    mView.SetMembers(Members("abcd"));
+    See("a", Role::Primary, 1, { 1, 10 }, 10ms);
+    See("c", Role::Replica, 1, { 1, 9 }, 10ms);
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
+    See("d", Role::Replica, 1, { 1, 10 }, 10ms);
+    CPPUNIT_ASSERT(mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
+  }
+
+  /// Guards against evidence of a primary that lost the lead in between.
+  void PrimaryRefusedAWriteItsEarlierEvidenceIsVoid()
+  {
+    See("a", Role::Primary, 1, { 1, 10 }, 10ms);
+    See("c", Role::Replica, 1, { 1, 9 }, 10ms);
+    CPPUNIT_ASSERT(mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
+    mView.ObserveNotPrimary("a");
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
+  }
+
   void DatabaseRestartedStatusIsDiscarded()
   {
     auto members = Members("abc");
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -22,6 +22,10 @@
 constexpr int kMaxRestoreIntervalMs = 15'000;
 constexpr int kMaxLearningDelayMs = 4000;
 constexpr int kMaxLateWriteMs = 6000;
+constexpr auto kDeafTime = 3000ms;
+constexpr auto kReplacementInterval = 4000ms;
+/// Replicas lag by this while primaries are replaced.
+constexpr auto kReplacementLag = 150ms;
 
 }
 
@@ -49,7 +53,7 @@
   void Send(const UpstreamCommand& aCommand) override
   {
     RoundTrip([aCommand](RelayWorld& aOf, Shared& aState, Database& aAt) {
-      return aOf.Execute(aAt, aCommand, aState.mState, aState.mStaged);
+      return aOf.Execute(aAt, aCommand, aState.mSession);
     });
   }
 
@@ -57,8 +61,7 @@
   struct Shared
   {
     ChannelEvents mEvents;
-    TransactionState mState = TransactionState::None;
-    std::vector<std::string> mStaged;
+    DatabaseSession mSession;
     bool mIsBroken = false;
   };
 
@@ -105,10 +108,12 @@
 
 RelayWorld::RelayWorld(unsigned aSeed,
                        Freshness aFreshness,
-                       Acknowledgement aAcknowledgement)
+                       Acknowledgement aAcknowledgement,
+                       Disruption aDisruption)
   : mRandom(aSeed)
   , mFreshness(aFreshness)
   , mAcknowledgement(aAcknowledgement)
+  , mDisruption(aDisruption)
   , mLeaseObject(StoredLease{ { "", "", 0, true, 1 }, { 1, 1 } })
   , mStoreRandom(aSeed)
 {
@@ -116,6 +121,9 @@
     Database database;
     database.mName = it;
     database.mRole = it == mLeader ? Role::Primary : Role::Replica;
+    if (aDisruption == Disruption::ReplacementsBesideDeafReplicas) {
+      database.mLag = kReplacementLag;
+    }
     mDatabases.push_back(database);
   }
   RelayConfiguration configuration;
@@ -127,14 +135,6 @@
   route.mMaxAge = kMaxAge;
   configuration.mRoutes = { route };
   configuration.mGroups = { { "g", 60, 0 } };
-  std::vector<DirectoryEntry> entries;
-  for (const auto& it : mDatabases) {
-    DirectoryEntry entry;
-    entry.mGroup = "g";
-    entry.mMember.mName = it.mName;
-    entry.mMember.mListedRole = it.mRole;
-    entries.push_back(entry);
-  }
   mInstances.resize(kInstances);
   for (size_t it = 0; it < kInstances; ++it) {
     mInstances[it].mLease =
@@ -142,8 +142,10 @@
     ObserveEra(it);
     mInstances[it].mRouter = std::make_unique<RelayRouter>(MakeEnvironment(it));
     mInstances[it].mRouter->ApplyConfigurationIfNewer(configuration);
-    mInstances[it].mRouter->SetDirectory(entries);
-    mInstances[it].mRouter->FindGroup("g")->SetPlacement({ true, kInstances });
+  }
+  PublishDirectory({});
+  for (const auto& it : mInstances) {
+    it.mRouter->FindGroup("g")->SetPlacement({ true, kInstances });
   }
   for (size_t it = 0; it < kInstances * kCallersPerInstance; ++it) {
     Caller caller;
@@ -158,6 +160,7 @@
       [this, it](const StatementAnswer& aAnswer) { OnResponse(it, aAnswer); });
   }
   mNextFault = mNow + 500ms;
+  mNextReplacement = mNow + 1000ms;
   mNextRestore = mNow + RandomStoreDelay(kMaxRestoreIntervalMs);
 }
 
@@ -167,6 +170,23 @@
   mInstances.clear();
 }
 
+void
+RelayWorld::PublishDirectory(const std::string& aLeaving)
+{
+  std::vector<DirectoryEntry> entries;
+  for (const auto& it : mDatabases) {
+    DirectoryEntry entry;
+    entry.mGroup = "g";
+    entry.mMember.mName = it.mName;
+    entry.mMember.mListedRole = it.mRole;
+    entry.mMember.mIsLeaving = it.mName == aLeaving;
+    entries.push_back(entry);
+  }
+  for (const auto& it : mInstances) {
+    it.mRouter->SetDirectory(entries);
+  }
+}
+
 RelayEnvironment
 RelayWorld::MakeEnvironment(size_t aInstance)
 {
@@ -472,18 +492,19 @@
 StatementAnswer
 RelayWorld::Execute(Database& aDatabase,
                     const UpstreamCommand& aCommand,
-                    TransactionState& aState,
-                    std::vector<std::string>& aStaged)
+                    DatabaseSession& aSession)
 {
+  auto& [state, isReadOnly, staged] = aSession;
   StatementAnswer answer;
   answer.mSignature = "s";
   const auto applied = EndOf(aDatabase, aDatabase.mApplied);
   const bool isPrimary = aDatabase.mRole == Role::Primary;
   const auto fail = [&](ErrorKind aKind) {
     answer.mError = Error{ aKind, "" };
-    aState =
-      aState == TransactionState::Open ? TransactionState::Failed : aState;
-    aStaged.clear();
+    aSession.mState = aSession.mState == TransactionState::Open
+                        ? TransactionState::Failed
+                        : aSession.mState;
+    aSession.mStaged.clear();
   };
   const bool isLagging =
     aCommand.mMinPosition && applied < *aCommand.mMinPosition;
@@ -491,18 +512,21 @@
     case CommandType::Forward: {
       const bool isWrite = aCommand.mText.starts_with("WRITE");
       const bool isCommit = aCommand.mText == "COMMIT";
+      const bool isRefusedByReplica =
+        isWrite || (isCommit ? !staged.empty()
+                             : state == TransactionState::Open && !isReadOnly);
       if (isLagging) {
         fail(ErrorKind::TooStale);
-      } else if ((isWrite || (isCommit && !aStaged.empty())) && !isPrimary) {
+      } else if (isRefusedByReplica && !isPrimary) {
         fail(ErrorKind::NotPrimary);
       } else if (isCommit) {
-        for (const auto& it : aStaged) {
+        for (const auto& it : staged) {
           Commit(aDatabase, it);
         }
-        aStaged.clear();
-        aState = TransactionState::None;
-      } else if (isWrite && aState == TransactionState::Open) {
-        aStaged.push_back(aCommand.mText);
+        staged.clear();
+        state = TransactionState::None;
+      } else if (isWrite && state == TransactionState::Open) {
+        staged.push_back(aCommand.mText);
       } else if (isWrite) {
         Commit(aDatabase, aCommand.mText);
       } else {
@@ -511,16 +535,18 @@
       break;
     }
     case CommandType::Begin:
-      isPrimary ? void(aState = TransactionState::Open)
+      isReadOnly = false;
+      isPrimary ? void(state = TransactionState::Open)
                 : fail(ErrorKind::NotPrimary);
       break;
     case CommandType::BeginReadOnly:
+      isReadOnly = true;
       isLagging ? fail(ErrorKind::TooStale)
-                : void(aState = TransactionState::Open);
+                : void(state = TransactionState::Open);
       break;
     case CommandType::Rollback:
-      aStaged.clear();
-      aState = TransactionState::None;
+      staged.clear();
+      state = TransactionState::None;
       break;
     case CommandType::Fence:
       if (!isPrimary && aCommand.mTerm > aDatabase.mTerm) {
@@ -547,7 +573,7 @@
       " " + std::to_string(aDatabase.mFencedTerm) + " 0 0 3"
     };
   }
-  answer.mTransactionState = aState;
+  answer.mTransactionState = state;
   answer.mPosition = EndOf(aDatabase, aDatabase.mApplied);
   return answer;
 }
@@ -559,6 +585,8 @@
   const auto id = "q" + std::to_string(++mLastRequest);
   if (caller.mStep == 0) {
     caller.mIsTransaction = Chance(0.4);
+    caller.mIsReadOnly = (mDisruption != Disruption::None && Chance(0.5)) ||
+                         mNow < mInstances[caller.mInstance].mReadsOnlyUntil;
   }
   const auto newWrite = [&] {
     caller.mPendingWrite = "WRITE 1 " + id;
@@ -566,11 +594,12 @@
   };
   std::string text;
   if (!caller.mIsTransaction) {
-    text = Chance(0.5) ? newWrite() : "READ 1";
+    const bool isWrite = Chance(0.5) && !caller.mIsReadOnly;
+    text = isWrite ? newWrite() : "READ 1";
   } else if (caller.mStep == 0) {
-    text = "BEGIN";
+    text = caller.mIsReadOnly ? "BEGIN READ" : "BEGIN";
     caller.mBeganAt = mNow;
-  } else if (caller.mStep == 1) {
+  } else if (caller.mStep == 1 || (caller.mIsReadOnly && caller.mStep == 2)) {
     text = "READ 1";
   } else {
     text = caller.mStep == 2 ? newWrite() : "COMMIT";
@@ -619,6 +648,45 @@
     isEnd || caller.mStatement == "ROLLBACK" ? 0 : caller.mStep + 1;
 }
 
+void
+RelayWorld::PartitionReplication(const std::string& aFirst,
+                                 const std::string& aSecond,
+                                 Milliseconds aTime)
+{
+  const std::pair<std::string, std::string> pair = std::minmax(aFirst, aSecond);
+  mPartitions.insert(pair);
+  Schedule(mNow + aTime, [this, pair] { mPartitions.erase(pair); });
+}
+
+/// Lets the primary leave while a replica receives nothing. The callers of one
+/// instance only read, and in half of the cases this instance does not reach
+/// the database that is to be promoted.
+void
+RelayWorld::ReplacePrimary()
+{
+  std::vector<std::string> replicas;
+  for (const auto& it : mDatabases) {
+    if (it.mName != mLeader) {
+      replicas.push_back(it.mName);
+    }
+  }
+  const auto first = static_cast<size_t>(RandomBelow(2));
+  const auto deaf = replicas[first];
+  const auto next = replicas[1 - first];
+  PartitionReplication(deaf, mLeader, kDeafTime);
+  PartitionReplication(deaf, next, kDeafTime);
+  auto& instance = mInstances[static_cast<size_t>(RandomBelow(kInstances))];
+  instance.mReadsOnlyUntil = mNow + kDeafTime;
+  if (Chance(0.5)) {
+    instance.mPartitionedFrom.insert(next);
+    Schedule(mNow + kDeafTime,
+             [&instance, next] { instance.mPartitionedFrom.erase(next); });
+  }
+  Schedule(mNow + 100ms,
+           [this, leaving = mLeader] { PublishDirectory(leaving); });
+  Schedule(mNow + kDeafTime, [this] { PublishDirectory({}); });
+}
+
 void
 RelayWorld::InjectFault()
 {
@@ -638,10 +706,7 @@
       break;
     case 2: {
       const auto& other = mDatabases[static_cast<size_t>(RandomBelow(3))];
-      const std::pair<std::string, std::string> pair =
-        std::minmax(database.mName, other.mName);
-      mPartitions.insert(pair);
-      Schedule(mNow + length, [this, pair] { mPartitions.erase(pair); });
+      PartitionReplication(database.mName, other.mName, length);
       break;
     }
     case 3:
@@ -704,6 +769,11 @@
       mNextFault = mNow + Milliseconds(300 + RandomBelow(2000));
       InjectFault();
     }
+    if (mDisruption == Disruption::ReplacementsBesideDeafReplicas &&
+        mNow >= mNextReplacement) {
+      mNextReplacement = mNow + kReplacementInterval;
+      ReplacePrimary();
+    }
     for (auto& it : mInstances) {
       const bool isTick = sinceEpoch % kTick == 0ms;
       if (isTick && mNow >= it.mSuspendedUntil) {
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -19,9 +19,18 @@
 class RelayWorld
 {
 public:
+  /// Faults besides the random ones.
+  enum class Disruption
+  {
+    None,
+    /// Primaries leave and are replaced while a replica receives nothing.
+    ReplacementsBesideDeafReplicas,
+  };
+
   RelayWorld(unsigned aSeed,
              Freshness aFreshness,
-             Acknowledgement aAcknowledgement);
+             Acknowledgement aAcknowledgement,
+             Disruption aDisruption = Disruption::None);
   ~RelayWorld();
 
   void Run(Milliseconds aTime);
@@ -52,12 +61,22 @@
     Milliseconds mLag{ 5 };
     std::deque<std::pair<Instant, size_t>> mToApply;
   };
+  /// A connection as its database sees it.
+  struct DatabaseSession
+  {
+    TransactionState mState = TransactionState::None;
+    bool mIsReadOnly = false;
+    std::vector<std::string> mStaged;
+  };
   struct Instance
   {
     std::unique_ptr<PromotionLease> mLease;
     std::unique_ptr<RelayRouter> mRouter;
     Instant mSuspendedUntil;
     std::set<std::string> mPartitionedFrom;
+    /// Until then its callers send no writes, whose refusal would tell it of
+    /// another primary.
+    Instant mReadsOnlyUntil;
   };
   struct Caller
   {
@@ -70,6 +89,7 @@
     int mStep = 0;
     Instant mNextAt;
     bool mIsTransaction = false;
+    bool mIsReadOnly = false;
     Instant mBeganAt;
   };
   struct StoreCopy
@@ -99,13 +119,17 @@
   static LogPosition EndOf(const Database& aDatabase, size_t aSize);
   StatementAnswer Execute(Database& aDatabase,
                           const UpstreamCommand& aCommand,
-                          TransactionState& aState,
-                          std::vector<std::string>& aStaged);
+                          DatabaseSession& aSession);
   void Commit(Database& aDatabase, const std::string& aWrite);
   void CheckRead(const Database& aDatabase, const std::string& aId);
   void Promote(const std::string& aName);
   void Replicate();
   void InjectFault();
+  void ReplacePrimary();
+  void PublishDirectory(const std::string& aLeaving);
+  void PartitionReplication(const std::string& aFirst,
+                            const std::string& aSecond,
+                            Milliseconds aTime);
   void AcquireLease(size_t aInstance);
   /// Writes the lease record if its revision number is the expected one.
   bool PutLease(const WriteLease& aPut);
@@ -120,6 +144,7 @@
   std::mt19937 mRandom;
   Freshness mFreshness;
   Acknowledgement mAcknowledgement;
+  Disruption mDisruption;
   Instant mNow = Instant(std::chrono::hours(1));
   uint64_t mOrder = 0;
   std::vector<Event> mEvents;
@@ -140,6 +165,7 @@
   size_t mLastHolder = 0;
   bool mIsStoreUp = true;
   Instant mNextFault;
+  Instant mNextReplacement;
   std::map<std::string, Instant> mAcknowledged;
   std::set<std::string> mCommitted;
   std::set<std::string> mRolledBack;
--- a/Tests/LibRelay/TestExploration.cpp
+++ b/Tests/LibRelay/TestExploration.cpp
@@ -15,20 +15,22 @@
   CPPUNIT_TEST(AgedReadsUnderFaultsKeepTheRules);
   CPPUNIT_TEST(OwnReadsUnderFaultsKeepTheRules);
   CPPUNIT_TEST(WritesAcknowledgedByMajoritiesAreNotLost);
+  CPPUNIT_TEST(PrimariesReplacedBesideDeafReplicasNoReadIsStale);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr unsigned kSeeds = 40;
 
   static void Explore(
     Freshness aFreshness,
-    Acknowledgement aAcknowledgement = Acknowledgement::Leader)
+    Acknowledgement aAcknowledgement = Acknowledgement::Leader,
+    RelayWorld::Disruption aDisruption = RelayWorld::Disruption::None)
   {
     size_t acknowledged = 0;
     size_t reads = 0;
     size_t promotions = 0;
     size_t restores = 0;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-      RelayWorld world(seed, aFreshness, aAcknowledgement);
+      RelayWorld world(seed, aFreshness, aAcknowledgement, aDisruption);
       world.Run(15s);
       acknowledged += world.Acknowledged();
       reads += world.Reads();
@@ -61,6 +63,19 @@
     Explore(Freshness::ReadYourWrites, Acknowledgement::Majority);
   }
   void OwnReadsUnderFaultsKeepTheRules() { Explore(Freshness::ReadYourWrites); }
+
+  /// Guards against reads at a replaced primary that follows the next one and
+  /// lags, while the only other replica that is asked stays in its term.
+  void PrimariesReplacedBesideDeafReplicasNoReadIsStale()
+  {
+    for (const auto it : { Freshness::Latest,
+                           Freshness::BoundedStaleness,
+                           Freshness::ReadYourWrites }) {
+      Explore(it,
+              Acknowledgement::Leader,
+              RelayWorld::Disruption::ReplacementsBesideDeafReplicas);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestExploration);
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(WriteRefusedForLackOfSlotsIsRetried);
   CPPUNIT_TEST(ReadAtPrimaryWaitsForEvidence);
   CPPUNIT_TEST(ReadAtReplacedPrimaryDoesNotRunThere);
+  CPPUNIT_TEST(ReadAtReplacedPrimaryThatLagsDoesNotRunThere);
   CPPUNIT_TEST(InstanceWithoutEvidenceRefusesAtOnce);
   CPPUNIT_TEST(InstancePartitionedFromPrimaryOnlyRefusesAtOnce);
   CPPUNIT_TEST(AgedReadGoesToReplicaOfSameDomain);
@@ -190,6 +191,30 @@
     CPPUNIT_ASSERT(!caller->LastError());
   }
 
+  /// Guards against stale reads, single and in read-only transactions, at a
+  /// primary that stepped down and follows the next one: the only other member
+  /// that this instance reaches receives nothing and stays in its term.
+  void ReadAtReplacedPrimaryThatLagsDoesNotRunThere()
+  {
+    mFake->At("c").mIsReplicating = false;
+    mFake->At("b").mIsReachable = false;
+    mFake->mIsPromoting = false;
+    mFake->Promote("b");
+    mFake->At("a").mRole = Role::Replica;
+    mFake->At("a").mIsApplying = false;
+    auto first = mFake->Connect();
+    auto second = mFake->Connect();
+    first->Send("READ 1");
+    second->Send("BEGIN READ");
+    second->Send("READ 2");
+    mFake->Run(1200ms);
+    for (const auto* it : { first.get(), second.get() }) {
+      CPPUNIT_ASSERT(it->LastError());
+      CPPUNIT_ASSERT(AnswerFor(*it->LastError()).mOutcome == Outcome::NotRun);
+    }
+    CPPUNIT_ASSERT(mFake->At("a").mRan.empty());
+  }
+
   /// An instance that shares a minority partition with the primary has to
   /// refuse statements early, so that callers retry at an instance of the
   /// majority.
