LibRelay: End attempts with their connection, whoever closes it

Cause: a deferred attempt stood in mAttempts and in mDeferred, and its connection belonged to the attempt and to the pool of the member. SetMembers dropped the pool; SendDeferred sent the statement on a connection that no longer existed. Statements in flight on such connections kept their callers waiting until the route's timeout, and one that waited on a connection that the database reset was sent there and never answered.

Change: deferred is a state of an attempt, which mAttempts alone owns. An attempt ends when its connection closes, at once when the members change, else at the next tick: retried or refused as not run if it was not sent, with an unknown outcome if it may have taken effect.

--- a/Libraries/LibRelay/PendingRequest.h
+++ b/Libraries/LibRelay/PendingRequest.h
@@ -62,6 +62,9 @@
   Instant mStartedAt;
   Instant mStatementSentAt;
   bool mIsStatementSent = false;
+  /// Has a connection and waits for evidence before its statement is sent.
+  bool mIsDeferred = false;
+  bool mHasEnded = false;
   size_t mPreparationsLeft = 0;
   bool mHasPreparationFailed = false;
   /// The open transaction, once the database acknowledged its begin.
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -79,6 +79,7 @@
     Log("member.added",
         { { "upstream", it.mName }, { "domain", it.mFailureDomain } });
   }
+  EndLostAttempts();
   Dispatch();
 }
 
@@ -196,6 +197,7 @@
   for (auto& [name, it] : mMembers) {
     it.mPool->Tick(now);
   }
+  EndLostAttempts();
   ExpireAttempts(now);
   RunTakeover(now);
   Probe(now);
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -150,6 +150,9 @@
   ~RelayGroup() override;
 
   void Configure(const RelayGroupConfiguration& aConfiguration);
+  /// Replaces the member list. The connections to members that have left or
+  /// restarted are closed, and the statements that ran or waited on them end at
+  /// once or are retried.
   void SetMembers(const std::vector<GroupMember>& aMembers);
 
   void SetPlacement(const GroupPlacement& aPlacement);
@@ -261,6 +264,8 @@
   void OnRefusal(const AttemptPointer& aAttempt,
                  const StatementAnswer& aAnswer);
   void OnConnectionLost(const AttemptPointer& aAttempt);
+  /// Ends the attempts whose link has closed without an answer to them.
+  void EndLostAttempts();
   void RecordRefusal(const AttemptPointer& aAttempt, const Error& aError);
   void Retry(const AttemptPointer& aAttempt, const Error& aReason);
   void ReleaseLink(const AttemptPointer& aAttempt);
@@ -329,12 +334,11 @@
   /// Ordered by rank and arrival; requests that wait are dispatched in this
   /// order.
   std::list<PendingRequestPointer> mPendingRequests;
-  /// Attempts in progress, including those whose request is finished.
+  /// Attempts in progress, including those whose request is finished. Each has
+  /// a link of its own; when the link closes, whoever closed it, the attempt
+  /// ends.
   std::list<AttemptPointer> mAttempts;
   std::list<UnconfirmedWrite> mUnconfirmedWrites;
-  /// Attempts that have a connection and wait for evidence before their
-  /// statement is sent.
-  std::list<AttemptPointer> mDeferred;
   Instant mNextEvidenceAt;
   AdaptiveInterval mEvidenceInterval;
   /// When evidence that is still missing was first requested.
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -245,7 +245,7 @@
   }
   if (aAttempt->mPrimary && !pending.IsCommit() &&
       !MayRunAt(*aAttempt->mPrimary, request)) {
-    mDeferred.push_back(aAttempt);
+    aAttempt->mIsDeferred = true;
     RequestEvidence(mEnvironment.mNow());
     return;
   }
@@ -294,9 +294,18 @@
 void
 RelayGroup::SendDeferred()
 {
-  const auto deferred = std::exchange(mDeferred, {});
-  for (const auto& it : deferred) {
+  const auto attempts = mAttempts;
+  for (const auto& it : attempts) {
+    if (!std::exchange(it->mIsDeferred, false)) {
+      continue;
+    }
     if (it->mPending->mIsFinished) {
+      ReleaseLink(it);
+      RemoveAttempt(it);
+      continue;
+    }
+    if (!it->mLink->IsReady()) {
+      OnConnectionLost(it);
       continue;
     }
     if (!IsReplaced(*it->mPrimary)) {
@@ -444,6 +453,17 @@
   }
 }
 
+void
+RelayGroup::EndLostAttempts()
+{
+  const auto attempts = mAttempts;
+  for (const auto& it : attempts) {
+    if (!it->mHasEnded && !it->mLink->IsReady()) {
+      OnConnectionLost(it);
+    }
+  }
+}
+
 void
 RelayGroup::Retry(const AttemptPointer& aAttempt, const Error& aReason)
 {
@@ -467,8 +487,9 @@
 void
 RelayGroup::RemoveAttempt(const AttemptPointer& aAttempt)
 {
-  const auto n = std::erase(mAttempts, aAttempt);
-  if (n > 0) {
+  aAttempt->mIsDeferred = false;
+  if (!std::exchange(aAttempt->mHasEnded, true)) {
+    std::erase(mAttempts, aAttempt);
     --aAttempt->mPending->mInFlight;
   }
 }
--- a/Libraries/LibRelay/RelayGroupEnding.cpp
+++ b/Libraries/LibRelay/RelayGroupEnding.cpp
@@ -102,7 +102,8 @@
   const auto attempts = mAttempts;
   for (const auto& it : attempts) {
     const auto& pending = it->mPending;
-    if (aNow - it->mStartedAt < pending->mRequest.mRoute.mTimeout) {
+    if (it->mHasEnded ||
+        aNow - it->mStartedAt < pending->mRequest.mRoute.mTimeout) {
       continue;
     }
     Log(
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -88,9 +88,11 @@
     mPendingRequests, std::back_inserter(requests), [](const auto& it) {
       return it->IsWaiting() && it->mNeedsEvidence;
     });
-  std::ranges::transform(mDeferred,
-                         std::back_inserter(requests),
-                         [](const auto& it) { return it->mPending; });
+  for (const auto& it : mAttempts) {
+    if (it->mIsDeferred) {
+      requests.push_back(it->mPending);
+    }
+  }
   return requests;
 }
 
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -35,6 +35,7 @@
     if (it == mFake.mDatabases.end()) {
       return;
     }
+    mFake.mOpenedChannels.emplace_back(mName, mEvents);
     auto& database = it->second;
     ++database.mOpenings;
     if (!database.mIsReachable) {
@@ -165,6 +166,30 @@
                 [&](const auto& it) { return it.mMember.mName == aName; });
 }
 
+void
+FakeUpstreams::Restart(const std::string& aName)
+{
+  for (auto& it : mEntries) {
+    it.mMember.mStartedMs += it.mMember.mName == aName ? 1 : 0;
+  }
+  Publish();
+}
+
+void
+FakeUpstreams::ResetConnections(const std::string& aName)
+{
+  const auto channels = std::exchange(mOpenedChannels, {});
+  for (const auto& [name, weak] : channels) {
+    const auto events = weak.lock();
+    if (events && name == aName) {
+      const auto onClosed = events->mOnClosed;
+      onClosed({ ErrorKind::Unreachable, "reset" });
+    } else if (events) {
+      mOpenedChannels.emplace_back(name, weak);
+    }
+  }
+}
+
 void
 FakeUpstreams::Publish()
 {
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -54,6 +54,10 @@
   void AddMember(const std::string& aName, Role aRole, bool aIsLeaving = false);
   void SetLeaving(const std::string& aName);
   void RemoveMember(const std::string& aName);
+  /// Registers the database as started again under its name, with its log.
+  void Restart(const std::string& aName);
+  /// Closes all connections to a database.
+  void ResetConnections(const std::string& aName);
   /// Passes the member list to the router.
   void Publish();
 
@@ -130,6 +134,8 @@
   std::map<std::string, Database> mDatabases;
   std::vector<DirectoryEntry> mEntries;
   std::deque<Pending> mPending;
+  std::vector<std::pair<std::string, std::weak_ptr<ChannelEvents>>>
+    mOpenedChannels;
   std::optional<LeaseGrant> mGrant;
   std::unique_ptr<RelayRouter> mRouter;
   RelayConfiguration mConfiguration;
--- a/Tests/LibRelay/TestRelayGroup.cpp
+++ b/Tests/LibRelay/TestRelayGroup.cpp
@@ -35,6 +35,11 @@
   CPPUNIT_TEST(ReadsThatAreNeverAnsweredAreRetriedRarely);
   CPPUNIT_TEST(TransactionKeepsItsConnection);
   CPPUNIT_TEST(TransactionWhoseConnectionIsLostFails);
+  CPPUNIT_TEST(PrimaryRestartedWhileStatementsWaitTheyEndAtOnce);
+  CPPUNIT_TEST(PrimaryRemovedWhileStatementsWaitTheyEndAtOnce);
+  CPPUNIT_TEST(ConnectionsResetWhileStatementsWaitTheyEndAtOnce);
+  CPPUNIT_TEST(PrimaryRestartedWhileStatementsRunTheyEndAtOnce);
+  CPPUNIT_TEST(ReplicaRestartedItsReadsAreServedElsewhere);
   CPPUNIT_TEST(CommitWhoseAnswerIsLostEndsWithUnknownOutcome);
   CPPUNIT_TEST(TransactionThatIdlesIsRolledBack);
   CPPUNIT_TEST(EmptyTransactionCommitsAtADatabase);
@@ -489,6 +494,117 @@
     CPPUNIT_ASSERT(caller->Last().mTransactionState == TransactionState::None);
   }
 
+  using Callers = std::vector<std::unique_ptr<FakeUpstreams::Caller>>;
+
+  /// Opens transactions, lets the primary become silent, and sends a read in
+  /// each of them once the primary is suspected, so that it is not sent.
+  Callers SuspendStatementsAtSilentPrimary()
+  {
+    Callers callers;
+    for (int n = 0; n < 3; ++n) {
+      callers.push_back(mFake->Connect());
+      WriteInTransaction(*callers.back());
+    }
+    mFake->At("a").mIsReachable = false;
+    auto probing = mFake->Connect();
+    probing->Send("WRITE 2 probe");
+    mFake->Run(400ms);
+    for (const auto& it : callers) {
+      it->Send("READ 1");
+    }
+    mFake->Run(20ms);
+    for (const auto& it : callers) {
+      CPPUNIT_ASSERT(!it->IsAnswered());
+    }
+    return callers;
+  }
+
+  void AssertAborted(const Callers& aCallers)
+  {
+    mFake->Run(40ms);
+    for (const auto& it : aCallers) {
+      CPPUNIT_ASSERT(it->LastError() == ErrorKind::UpstreamLost);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t(0), CountRuns("READ 1"));
+  }
+
+  /// Guards against the end of the process: statements that waited for evidence
+  /// were sent on connections that the restart of their database had closed.
+  void PrimaryRestartedWhileStatementsWaitTheyEndAtOnce()
+  {
+    const auto callers = SuspendStatementsAtSilentPrimary();
+    mFake->At("a").mIsReachable = true;
+    mFake->Restart("a");
+    AssertAborted(callers);
+    auto next = mFake->Connect();
+    next->Send("WRITE 3 z");
+    mFake->Run(300ms);
+    CPPUNIT_ASSERT(next->IsAnswered());
+    CPPUNIT_ASSERT(!next->LastError());
+  }
+
+  /// The same where the directory no longer lists the database, with or without
+  /// another one in its place.
+  void PrimaryRemovedWhileStatementsWaitTheyEndAtOnce()
+  {
+    for (const bool isReplaced : { false, true }) {
+      setUp();
+      const auto callers = SuspendStatementsAtSilentPrimary();
+      mFake->RemoveMember("a");
+      if (isReplaced) {
+        mFake->AddMember("d", Role::Replica);
+      }
+      mFake->Publish();
+      AssertAborted(callers);
+    }
+  }
+
+  void ConnectionsResetWhileStatementsWaitTheyEndAtOnce()
+  {
+    const auto callers = SuspendStatementsAtSilentPrimary();
+    mFake->ResetConnections("a");
+    AssertAborted(callers);
+  }
+
+  /// Guards against statements that keep their callers waiting until the
+  /// route's timeout although their connections are gone.
+  void PrimaryRestartedWhileStatementsRunTheyEndAtOnce()
+  {
+    auto committing = mFake->Connect();
+    auto reading = mFake->Connect();
+    auto writing = mFake->Connect();
+    WriteInTransaction(*committing);
+    WriteInTransaction(*reading);
+    mFake->At("a").mLosesAllAnswers = true;
+    committing->Send("COMMIT");
+    reading->Send("READ 1");
+    writing->Send("WRITE 2 y");
+    mFake->Run(50ms);
+    mFake->At("a").mLosesAllAnswers = false;
+    mFake->Restart("a");
+    mFake->Run(40ms);
+    CPPUNIT_ASSERT(committing->LastError() == ErrorKind::OutcomeUnknown);
+    CPPUNIT_ASSERT(writing->LastError() == ErrorKind::OutcomeUnknown);
+    CPPUNIT_ASSERT(reading->LastError() == ErrorKind::UpstreamLost);
+    mFake->Run(1500ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), CountRuns("WRITE 2 y"));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), CountRuns("COMMIT"));
+  }
+
+  void ReplicaRestartedItsReadsAreServedElsewhere()
+  {
+    mFake->SetRoute(RouteWith(Freshness::BoundedStaleness));
+    mFake->At("b").mLosesAllAnswers = true;
+    auto caller = mFake->Connect();
+    caller->Send("READ 1");
+    mFake->Run(10ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), CountRuns("READ 1"));
+    mFake->Restart("b");
+    mFake->Run(60ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
   void CommitWhoseAnswerIsLostEndsWithUnknownOutcome()
   {
     auto caller = mFake->Connect();
