LibRelay: Request no evidence that is known already

While a write waited for its confirmation, the primary was asked again for each read although it had reported since, and a frontier always took new reports of two members.

Change: the report of the primary is reused whatever else waits, and a frontier uses reports that are not older than half of its greatest age. A frontier is a position of the primary, which is asked first for it.

--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -292,7 +292,7 @@
   void RequestEvidence(Instant aNow);
   /// The waiting requests and deferred attempts that need evidence.
   std::vector<PendingRequestPointer> RequestsAwaitingEvidence() const;
-  Instant EvidenceNeededSince(
+  Instant ReadEvidenceSince(
     std::span<const PendingRequestPointer> aRequests) const;
   bool IsStatusExpected(const Member& aMember, Instant aNow) const;
   /// How long the oldest unconfirmed write has waited for evidence.
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -96,22 +96,17 @@
   return requests;
 }
 
-/// The instant at or after which a member must have reported its state, so that
-/// no new report of it is needed. The confirmation of a write needs a new one.
+/// The instant at or after which members must have reported for all waiting
+/// reads.
 Instant
-RelayGroup::EvidenceNeededSince(
+RelayGroup::ReadEvidenceSince(
   std::span<const PendingRequestPointer> aRequests) const
 {
-  if (!mUnconfirmedWrites.empty()) {
-    return Instant::max();
-  }
   auto since = Instant::min();
   for (const auto& it : aRequests) {
-    const auto& request = it->mRequest;
-    since = std::max(since,
-                     request.mAccess == Access::Write
-                       ? Instant::max()
-                       : EvidenceSince(RequirementsOf(request)));
+    if (it->mRequest.mAccess == Access::Read) {
+      since = std::max(since, EvidenceSince(RequirementsOf(it->mRequest)));
+    }
   }
   return since;
 }
@@ -175,7 +170,7 @@
       return !it->mRequest.MayWrite();
     });
   const auto needed = followers + (needsMajority ? 1 : 0);
-  const auto order = EvidenceOrder(*primary, needsMajority);
+  auto order = EvidenceOrder(*primary, needsMajority);
   const auto following = std::ranges::count_if(
     order, [&](const auto& it) { return mView.IsFollowing(it, *primary); });
   // While replicas are slow to receive a write, the interval grows with the
@@ -185,16 +180,27 @@
                            static_cast<size_t>(following) < followers;
   auto remaining = requestsAll ? size : needed;
   mNextEvidenceAt = aNow + std::max(mEvidenceInterval.Interval(), waited / 2);
-  if (needsFrontier && !mMembers.at(primary->mName).HasCallInFlight()) {
-    RequestStatus(primary->mName, mCounts.mEvidenceRequests);
+  // A write is confirmed by new reports of replicas only.
+  const bool needsNewReports =
+    !mUnconfirmedWrites.empty() ||
+    std::ranges::any_of(requests, [](const auto& it) {
+      return it->mRequest.mAccess == Access::Write;
+    });
+  auto since = ReadEvidenceSince(requests);
+  if (needsFrontier) {
+    // A report of a member that is not older makes a frontier that lasts longer
+    // than half of one from new reports of two members.
+    since = std::max(since, aNow - mSettings.mMaxFrontierAge / 2);
+    // A frontier is a position of the primary.
+    std::ranges::stable_partition(
+      order, [&](const auto& it) { return it == primary->mName; });
   }
-  const auto since =
-    needsFrontier ? Instant::max() : EvidenceNeededSince(requests);
   for (const auto& it : order) {
     if (remaining == 0) {
       return;
     }
-    if (mView.HasConfirmed(it, *primary, since)) {
+    const bool mayReuse = !needsNewReports || it == primary->mName;
+    if (mayReuse && mView.HasConfirmed(it, *primary, since)) {
       --remaining;
       continue;
     }
