Papayalined: Drain by a plan that answers all that it accepts

Cause: the drain had one limit, the time of the exit. Until then it accepted sessions, statements and transactions, and waited for a moment without a connection, which does not come while the load balancer sends callers to instances that are not ready. Then it exited whatever was in progress.

Change: DrainPlan has the phases of a shutdown. Cancel tells whether a statement was removed before it was sent. Late statements of peers are declined and run elsewhere. A connection is closed as idle 50 ms after its last answer at the earliest, so that a session that was just opened gets its first statement through.

--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -309,17 +309,18 @@
   Forward(pending, forwarded.mPeer, forwarded.mId);
 }
 
-void
+bool
 ForwardingRunner::Cancel(const SessionState& aSession)
 {
+  bool isUnsent = false;
   std::erase_if(mPendingRequests, [&](const auto& it) {
     const bool isCancelled = it->mRequest.mSession.get() == &aSession;
     if (isCancelled) {
-      mPeers.Cancel(it->mCallId);
+      isUnsent |= mPeers.Cancel(it->mCallId);
     }
     return isCancelled;
   });
-  mGroup->Cancel(aSession);
+  return mGroup->Cancel(aSession) || isUnsent;
 }
 
 void
--- a/Libraries/LibPeer/ForwardingRunner.h
+++ b/Libraries/LibPeer/ForwardingRunner.h
@@ -40,7 +40,7 @@
   void Continue(const std::shared_ptr<OpenTransaction>& aTransaction,
                 RelayRequest aRequest,
                 OutcomeHandler aHandler) override;
-  void Cancel(const SessionState& aSession) override;
+  bool Cancel(const SessionState& aSession) override;
   void RollBack(const std::shared_ptr<OpenTransaction>& aTransaction) override;
 
 private:
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -175,7 +175,7 @@
          it->second.mConnection == aTransaction.mConnection;
 }
 
-void
+bool
 PeerPool::Cancel(uint64_t aCallId)
 {
   for (auto& [name, it] : mPeers) {
@@ -188,8 +188,9 @@
     if (isSent) {
       it.mChannel->Send(CancelStatement{ aCallId });
     }
-    return;
+    return !isSent;
   }
+  return false;
 }
 
 void
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -93,8 +93,9 @@
   /// Whether the connection that the transaction belongs to still exists.
   bool IsTransactionAlive(const ForwardedTransaction& aTransaction) const;
   /// Removes a call and tells the peer to drop the statement if it is still
-  /// queued there. A statement that is running is not stopped.
-  void Cancel(uint64_t aCallId);
+  /// queued there. A statement that is running is not stopped. Returns whether
+  /// the statement had not been sent to the peer.
+  bool Cancel(uint64_t aCallId);
   void RollBack(const ForwardedTransaction& aTransaction);
   /// Waits for changes of objects. The answer is marked unavailable when the
   /// peer can't tell. Errors: DeadlinePassed when the peer does not answer in
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -111,7 +111,8 @@
   const auto group = isContinued
                        ? open->second.mGroup
                        : mServer.mRouter.FindGroup(aStatement.mRoute.mGroup);
-  if (!group || (aStatement.mTransaction != 0 && !isContinued)) {
+  const bool isDeclined = !isContinued && mServer.mIsDeclining;
+  if (!group || isDeclined || (aStatement.mTransaction != 0 && !isContinued)) {
     ForwardAnswer declined;
     declined.mCall = aStatement.mCall;
     declined.mIsDeclined = true;
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -76,6 +76,9 @@
   /// Announces to all connected instances that this one is shutting down.
   /// Statements that they send afterwards are still run.
   void AnnounceShutdown();
+  /// Declines statements from now on, except those of open transactions. The
+  /// instances that sent them run them elsewhere.
+  void DeclineStatements() { mIsDeclining = true; }
   /// Rolls back all transactions that have no statement in flight. The caller
   /// gets an error with its next statement.
   void RollBackTransactions();
@@ -90,6 +93,7 @@
   Clock mClock;
   std::set<Session*> mSessions;
   bool mIsLeaving = false;
+  bool mIsDeclining = false;
   uint64_t mServedCount = 0;
 };
 
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -135,15 +135,16 @@
   Start(pending, choice, aTransaction->mLink);
 }
 
-void
+bool
 RelayGroup::Cancel(const SessionState& aSession)
 {
-  std::erase_if(mPendingRequests, [&](const auto& it) {
+  const auto n = std::erase_if(mPendingRequests, [&](const auto& it) {
     const bool isCancelled =
       it->mRequest.mSession.get() == &aSession && it->IsWaiting();
     it->mIsFinished |= isCancelled;
     return isCancelled;
   });
+  return n > 0;
 }
 
 void
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -161,7 +161,7 @@
   void Continue(const std::shared_ptr<OpenTransaction>& aTransaction,
                 RelayRequest aRequest,
                 OutcomeHandler aHandler) override;
-  void Cancel(const SessionState& aSession) override;
+  bool Cancel(const SessionState& aSession) override;
   void RollBack(const std::shared_ptr<OpenTransaction>& aTransaction) override;
 
   /// Call at least every 20 ms while requests are pending.
--- a/Libraries/LibRelay/RelayRouter.h
+++ b/Libraries/LibRelay/RelayRouter.h
@@ -16,6 +16,14 @@
   auto operator<=>(const DirectoryEntry&) const = default;
 };
 
+/// What sessions of callers may start.
+enum class Admission
+{
+  Everything,
+  SingleStatements,
+  Nothing,
+};
+
 /// The active configuration and the groups that it names.
 /// Thread safety: one thread.
 class RelayRouter
@@ -50,6 +58,9 @@
   /// group is not configured.
   std::shared_ptr<StatementRunner> FindRunner(const std::string& aName) const;
   Instant Now() const { return mEnvironment.mNow(); }
+  /// What sessions may start from now on. What they have started goes on.
+  void SetAdmission(Admission aAdmission) { mAdmission = aAdmission; }
+  Admission GetAdmission() const { return mAdmission; }
 
   void Tick();
   template<typename Use>
@@ -74,6 +85,7 @@
   std::optional<RelayConfiguration> mConfiguration;
   std::vector<DirectoryEntry> mEntries;
   std::map<std::string, GroupEntry> mGroups;
+  Admission mAdmission = Admission::Everything;
 };
 
 }
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -57,9 +57,49 @@
                         { ErrorKind::BadInput, "the transaction has failed" }));
     return;
   }
+  if (!IsAdmitted(aStatement)) {
+    Fail({ ErrorKind::ShuttingDown, "this instance is shutting down" });
+    return;
+  }
   (this->*entry->mHandle)(aStatement);
 }
 
+bool
+RelaySession::IsAdmitted(const CallerStatement& aStatement) const
+{
+  if (mPhase != Phase::None) {
+    return true;
+  }
+  switch (aStatement.mType) {
+    case StatementType::Begin:
+    case StatementType::BeginReadOnly:
+      return mRouter.GetAdmission() == Admission::Everything;
+    case StatementType::Read:
+    case StatementType::Write:
+    case StatementType::ExecutePrepared:
+      return mRouter.GetAdmission() != Admission::Nothing;
+    default:
+      return true;
+  }
+}
+
+bool
+RelaySession::Abandon()
+{
+  if (!mIsBusy) {
+    return false;
+  }
+  const bool isUnsent = mRunner->Cancel(*mState);
+  if (mMayHaveEffect && !isUnsent) {
+    Fail({ ErrorKind::OutcomeUnknown, "this instance is shutting down" });
+  } else if (mPhase != Phase::None) {
+    Fail({ ErrorKind::WriteNotRun, "this instance is shutting down" });
+  } else {
+    Fail({ ErrorKind::ShuttingDown, "this instance is shutting down" });
+  }
+  return true;
+}
+
 void
 RelaySession::HandleInvalid(const Error& aError)
 {
@@ -205,6 +245,9 @@
 void
 RelaySession::Send(RelayRequest aRequest)
 {
+  mMayHaveEffect = aRequest.mStatement.mType == StatementType::Commit ||
+                   (aRequest.mAccess == Access::Write &&
+                    aRequest.mMode == TransactionMode::None);
   // The session may be destroyed before the answer arrives.
   auto handler = [weak = weak_from_this(), runner = mRunner, aRequest](
                    const RelayOutcome& aOutcome) {
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -26,6 +26,10 @@
   /// Whether no statement and no transaction is in progress, so that the
   /// connection can be closed without loss.
   bool IsIdle() const { return !mIsBusy && mPhase == Phase::None; }
+  /// Answers the statement in progress, if any, because the instance ends: as
+  /// not run if that is certain, else with an unknown outcome. The session must
+  /// not be used afterwards. Returns whether there was one.
+  bool Abandon();
   /// Rolls back a transaction that waits for the caller's next statement, whose
   /// response is then aReason. No effect while a statement runs.
   void RollBackTransaction(const Error& aReason);
@@ -52,6 +56,9 @@
   void Prepare(const CallerStatement& aStatement);
   void ClosePrepared(const CallerStatement& aStatement);
 
+  /// Whether the router's admission allows a statement. One that belongs to a
+  /// transaction is always allowed.
+  bool IsAdmitted(const CallerStatement& aStatement) const;
   bool ResolveRoute();
   RelayRequest MakeRequest(const CallerStatement& aStatement) const;
   void Send(RelayRequest aRequest);
@@ -76,6 +83,8 @@
   Instant mLastResponseAt;
   bool mHasWritten = false;
   bool mIsBusy = false;
+  /// Whether the statement in progress may have a lasting effect once sent.
+  bool mMayHaveEffect = false;
 };
 
 }
--- a/Libraries/LibRelay/StatementRunner.h
+++ b/Libraries/LibRelay/StatementRunner.h
@@ -19,8 +19,8 @@
                         RelayRequest aRequest,
                         OutcomeHandler aHandler) = 0;
   /// Removes the statements of a session that were not sent yet; their handlers
-  /// are not called.
-  virtual void Cancel(const SessionState& aSession) = 0;
+  /// are not called. Returns whether there were any.
+  virtual bool Cancel(const SessionState& aSession) = 0;
   /// Rolls back a transaction without a response to the caller.
   virtual void RollBack(
     const std::shared_ptr<OpenTransaction>& aTransaction) = 0;
--- a/Services/Papayalined/Relay/CallerConnection.cpp
+++ b/Services/Papayalined/Relay/CallerConnection.cpp
@@ -14,6 +14,10 @@
 /// Further input stays in the kernel's buffer. A caller that waits for each
 /// response, as the protocol requires, never fills this buffer.
 constexpr qint64 kReadBufferBytes = 64 * 1024;
+/// An idle connection is closed this long after its last answer, which is
+/// several round trips to a caller: many callers send the next statement at
+/// once, and one that meets the close has an unknown outcome for them.
+constexpr Duration kMinIdleTime = std::chrono::milliseconds(50);
 
 }
 
@@ -23,6 +27,7 @@
   , mSocket(aSocket)
   , mProtocol(aListener.mProtocol())
   , mAcceptedAt(aListener.mRouter.Now())
+  , mLastActiveAt(mAcceptedAt)
 {
   mSocket->setParent(this);
   mSocket->setReadBufferSize(kReadBufferBytes);
@@ -104,6 +109,11 @@
     CloseWithError({ ErrorKind::BadInput, "a session is already open" });
     return;
   }
+  if (mListener.mRouter.GetAdmission() == Admission::Nothing) {
+    CloseWithError(
+      { ErrorKind::ShuttingDown, "this instance is shutting down" });
+    return;
+  }
   const auto* configuration = mListener.mRouter.Configuration();
   if (!configuration) {
     CloseWithError({ ErrorKind::NoUpstream,
@@ -136,6 +146,7 @@
 void
 CallerConnection::Write(const std::string& aBytes)
 {
+  mLastActiveAt = mListener.mRouter.Now();
   mSocket->write(aBytes.data(), static_cast<qint64>(aBytes.size()));
   mSocket->flush();
 }
@@ -156,17 +167,24 @@
   }
 }
 
-bool
-CallerConnection::CloseIfIdle()
+void
+CallerConnection::CloseIfIdle(Instant aNow)
 {
   const bool isIdle = !mIsHandling && (!mSession || mSession->IsIdle()) &&
                       !mProtocol->HasPartialMessage() &&
                       mSocket->bytesAvailable() == 0 &&
                       mSocket->bytesToWrite() == 0;
-  if (isIdle) {
+  if (isIdle && aNow - mLastActiveAt >= kMinIdleTime) {
     Close();
   }
-  return isIdle;
+}
+
+bool
+CallerConnection::End()
+{
+  const bool isAbandoned = !mIsClosing && mSession && mSession->Abandon();
+  Close();
+  return isAbandoned;
 }
 
 void
@@ -221,12 +239,20 @@
   return Done{};
 }
 
-size_t
+void
 RelayCallerListener::CloseIdle()
 {
   const auto connections = mConnections;
-  std::ranges::for_each(connections, [](auto* it) { it->CloseIfIdle(); });
-  return mConnections.size();
+  std::ranges::for_each(
+    connections, [now = mRouter.Now()](auto* it) { it->CloseIfIdle(now); });
+}
+
+size_t
+RelayCallerListener::End()
+{
+  const auto connections = mConnections;
+  return static_cast<size_t>(
+    std::ranges::count_if(connections, [](auto* it) { return it->End(); }));
 }
 
 void
--- a/Services/Papayalined/Relay/CallerConnection.h
+++ b/Services/Papayalined/Relay/CallerConnection.h
@@ -21,8 +21,11 @@
   ~CallerConnection() override;
 
   /// Closes the connection unless a statement, a transaction, unread input or
-  /// unsent output is pending. Returns whether it was idle.
-  bool CloseIfIdle();
+  /// unsent output is pending, or the caller got an answer a moment ago.
+  void CloseIfIdle(Instant aNow);
+  /// Answers the statement in progress, if any, and closes the connection.
+  /// Returns whether there was one.
+  bool End();
   /// Rolls back a transaction that is waiting for its caller's next statement.
   void RollBackTransaction();
   /// Expires an idle transaction, and a connection that opens no session.
@@ -43,6 +46,8 @@
   std::unique_ptr<CallerProtocol> mProtocol;
   std::shared_ptr<RelaySession> mSession;
   Instant mAcceptedAt;
+  /// When the last bytes were written, or when the connection was accepted.
+  Instant mLastActiveAt;
   bool mIsHandling = false;
   bool mIsClosing = false;
 };
@@ -59,9 +64,11 @@
   Result<Done> Listen(const Address& aAddress);
   void StopListening() { mServer.close(); }
 
-  /// Closes the idle connections. Returns the number of connections that remain
-  /// open.
-  size_t CloseIdle();
+  /// Closes the idle connections.
+  void CloseIdle();
+  /// Answers all statements in progress and closes all connections. Returns the
+  /// number of those statements.
+  size_t End();
   /// Rolls back the transactions that are waiting for their callers.
   void RollBackTransactions();
   void Tick(Instant aNow);
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -20,13 +20,6 @@
 /// The interval while this instance is on standby for all groups: its
 /// statements run at other instances, whose time limits are far longer.
 constexpr auto kStandbyTickInterval = 60ms;
-/// The load balancer checks readiness once a second and removes an instance
-/// after two failed checks. Until then it may still send new callers.
-constexpr Duration kBalancerDrainTime = 2300ms;
-/// Open transactions are rolled back after the first half of the grace time.
-constexpr int kTransactionGraceDivisor = 2;
-/// The part of the grace time that is reserved for the exit itself.
-constexpr Duration kExitReserve = 500ms;
 
 /// Bounds how late a change of a group's databases changes its home instances.
 constexpr auto kPlacementInterval = 200ms;
@@ -116,6 +109,7 @@
                   })
   , mDirectory(mRouter, mSharedStore, aPlatform.mReader)
   , mCallerListener(mRouter, aPlatform.mCallerProtocol)
+  , mDrainPlan(mSettings.mGracePeriod)
 {
   mLeaseController.SetRouter(mRouter);
   mRouter.SetRunnerFactory([this](const std::shared_ptr<RelayGroup>& aGroup) {
@@ -364,18 +358,31 @@
 void
 RelayService::ContinueDrain()
 {
-  const auto elapsed = Now() - *mDrainingSince;
-  if (elapsed >= mSettings.mGracePeriod / kTransactionGraceDivisor) {
+  const auto phase = mDrainPlan.PhaseAt(Now() - *mDrainingSince);
+  if (phase == DrainPhase::Announced) {
+    return;
+  }
+  mRouter.SetAdmission(phase >= DrainPhase::Refusing
+                         ? Admission::Nothing
+                         : Admission::SingleStatements);
+  if (phase >= DrainPhase::RollingBack) {
     mCallerListener.RollBackTransactions();
     mPeerServer.RollBackTransactions();
   }
-  if (elapsed < kBalancerDrainTime) {
-    return;
+  if (phase >= DrainPhase::Refusing) {
+    mPeerServer.DeclineStatements();
+  }
+  if (phase >= DrainPhase::Ending) {
+    mAbandoned += mCallerListener.End();
+  } else {
+    mCallerListener.CloseIdle();
   }
-  const auto left = mCallerListener.CloseIdle() + mPeerServer.InFlightCount();
-  const bool isLate = elapsed >= mSettings.mGracePeriod - kExitReserve;
-  if (left == 0 || isLate) {
-    Log("stop", { { "left", std::to_string(left) } });
+  const auto left =
+    mCallerListener.ConnectionCount() + mPeerServer.InFlightCount();
+  if (left == 0 || phase == DrainPhase::Over) {
+    Log("stop",
+        { { "left", std::to_string(left) },
+          { "abandoned", std::to_string(mAbandoned) } });
     QCoreApplication::exit(0);
   }
 }
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -5,6 +5,7 @@
 #include "FleetController.h"
 #include "LibConfiguration/RelaySettings.h"
 #include "LibPeer/ForwardingRunner.h"
+#include "LibRelay/DrainPlan.h"
 #include "PeerListener.h"
 #include "PromotionLeaseController.h"
 
@@ -49,8 +50,8 @@
   /// Handles a restore of the store that any answer told of.
   void ObserveStoreEra();
   void StartDrain();
-  /// Closes idle connections, rolls back open transactions after half of the
-  /// grace time, and exits when nothing is left or the grace time ends.
+  /// Does what the phase of the drain plan asks for, and exits when nothing is
+  /// left or the plan is over.
   void ContinueDrain();
 
   RelaySettings mSettings;
@@ -75,6 +76,9 @@
   std::unique_ptr<QSocketNotifier> mSignalNotifier;
   /// When the signal to stop arrived.
   std::optional<Instant> mDrainingSince;
+  DrainPlan mDrainPlan;
+  /// Statements that were answered because the process ends.
+  size_t mAbandoned = 0;
   /// The era of the store at the last tick.
   uint64_t mStoreEra = 0;
 };
--- a/Tests/LibPeer/TestForwarding.cpp
+++ b/Tests/LibPeer/TestForwarding.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(ForwarderFrozenItsTransactionExpiresAtTheHome);
   CPPUNIT_TEST(LeavingHomeCompletesItsTransactionAndGetsNothingNew);
   CPPUNIT_TEST(LeavingHomeRollsBackWhatStaysOpen);
+  CPPUNIT_TEST(LeavingHomeDeclinesLateStatementsWhichRunElsewhere);
+  CPPUNIT_TEST(ForwardedWriteAbandonedIsNotRunOnlyIfItWasUnsent);
   CPPUNIT_TEST(AllHomesFailedStatementsRunLocally);
   CPPUNIT_TEST(InstanceListsDifferStatementIsForwardedOnce);
   CPPUNIT_TEST(InstancePartitionedFromTheGroupForwardsStatements);
@@ -479,6 +481,41 @@
     CPPUNIT_ASSERT_EQUAL(size_t(0), mFleet->CountRuns("COMMIT"));
   }
 
+  /// The announcement of the shutdown may arrive after the statement was sent.
+  void LeavingHomeDeclinesLateStatementsWhichRunElsewhere()
+  {
+    auto& instance = mFleet->NonHome();
+    const auto home = mFleet->FindServingHome(instance, "READ 1");
+    mFleet->At(home).mServer->DeclineStatements();
+    const auto caller = mFleet->Connect(instance);
+    caller->Send("WRITE 1 once");
+    mFleet->Run(300ms);
+    AssertAnswered(*caller);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(1), instance.mCounts.mRerouted);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFleet->CountRuns("once"));
+  }
+
+  void ForwardedWriteAbandonedIsNotRunOnlyIfItWasUnsent()
+  {
+    auto& instance = mFleet->NonHome("d3");
+    const auto home =
+      mFleet->FindServingHome(mFleet->NonHome("d4"), "WRITE 1 x");
+    const auto sent = mFleet->Connect(instance);
+    mFleet->FindServingHome(instance, "READ 1");
+    mFleet->Freeze(home, 400ms);
+    sent->Send("WRITE 1 doubt");
+    mFleet->Run(5ms);
+    CPPUNIT_ASSERT(sent->mSession->Abandon());
+    CPPUNIT_ASSERT(sent->LastError() == ErrorKind::OutcomeUnknown);
+    const auto unsent = mFleet->Connect(mFleet->NonHome("d1"));
+    unsent->Send("WRITE 1 never");
+    mFleet->Run(5ms);
+    CPPUNIT_ASSERT(unsent->mSession->Abandon());
+    CPPUNIT_ASSERT(unsent->LastError() == ErrorKind::ShuttingDown);
+    mFleet->Run(2s);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), mFleet->CountRuns("never"));
+  }
+
   void LeavingHomeCompletesItsTransactionAndGetsNothingNew()
   {
     auto& instance = mFleet->NonHome();
--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(EntriesUnreadableTheOthersStayInUse);
   CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
+  CPPUNIT_TEST(TerminatedUnderLoadAllStatementsAreAnswered);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kTimeoutMs = 15'000;
@@ -95,13 +96,13 @@
     int mRequests = 0;
   };
 
-  void Configure(const QStringList& aDatabases)
+  void Configure(const QStringList& aDatabases, int aTimeoutMs = 1000)
   {
     QJsonArray routes;
     for (const auto& it : aDatabases) {
       routes.append(QJsonObject{ { "database", it },
                                  { "routeKind", "primary" },
-                                 { "timeoutMs", 1000 },
+                                 { "timeoutMs", aTimeoutMs },
                                  { "targetLatencyMs", 200 },
                                  { "priority", 1 },
                                  { "backend", "group-1" } });
@@ -379,6 +380,47 @@
     CPPUNIT_ASSERT_EQUAL(0, mInstance->WaitForExit(kTimeoutMs));
     CPPUNIT_ASSERT_EQUAL(size_t(1), mDatabases->Primary().mWrites);
   }
+
+  /// Guards against statements that are cut without an answer when the process
+  /// exits. Callers go on opening sessions, and the databases are silent at the
+  /// end, so that the last statements are in progress then.
+  void TerminatedUnderLoadAllStatementsAreAnswered()
+  {
+    Configure({ "bookings" }, 8000);
+    Session resting(mCallerPort, "bookings");
+    resting.Query("BEGIN READ");
+    CPPUNIT_ASSERT(resting.Query("READ 1").contains("COMPLETE"));
+    std::vector<std::unique_ptr<Session>> waiting;
+    QElapsedTimer sinceSignal;
+    mInstance->Terminate();
+    sinceSignal.start();
+    size_t answered = 0;
+    size_t refused = 0;
+    while (mInstance->IsRunning() && sinceSignal.elapsed() < kTimeoutMs) {
+      const bool isSilent = sinceSignal.elapsed() > 3500;
+      for (const auto& it : mDatabases->All()) {
+        it->mIsSilent = isSilent;
+      }
+      auto session = std::make_unique<Session>(mCallerPort, "bookings");
+      if (!session->mWelcome.startsWith("READY")) {
+        refused += session->mWelcome.startsWith("ERROR BUSY") ? 1 : 0;
+      } else if (isSilent) {
+        session->mSocket.write("QUERY late WRITE 1 x\r\n");
+        waiting.push_back(std::move(session));
+      } else {
+        CPPUNIT_ASSERT(session->Query("READ 1").contains("COMPLETE"));
+        ++answered;
+      }
+      QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, mInstance->WaitForExit(kTimeoutMs));
+    CPPUNIT_ASSERT(answered > 0);
+    CPPUNIT_ASSERT(!waiting.empty());
+    for (const auto& it : waiting) {
+      CPPUNIT_ASSERT(it->ReadAnswer().startsWith("ERROR "));
+    }
+    CPPUNIT_ASSERT(refused > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRelayProcess);
--- a/Tests/StandIns/Line/LineDatabases.cpp
+++ b/Tests/StandIns/Line/LineDatabases.cpp
@@ -163,7 +163,10 @@
       while ((end = connection->mBuffer.indexOf("\r\n")) >= 0) {
         const auto line = connection->mBuffer.left(end);
         connection->mBuffer.remove(0, end + 2);
-        socket->write(HandleLine(aDatabase, *connection, line));
+        const auto answer = HandleLine(aDatabase, *connection, line);
+        if (!aDatabase.mIsSilent) {
+          socket->write(answer);
+        }
       }
     });
     connect(socket, &QTcpSocket::disconnected, this, [socket, &aDatabase] {
--- a/Tests/StandIns/Line/LineDatabases.h
+++ b/Tests/StandIns/Line/LineDatabases.h
@@ -24,6 +24,8 @@
     /// Accepts connections, but doesn't replicate and isn't notified of
     /// promotions.
     bool mIsIsolated = false;
+    /// Answers nothing.
+    bool mIsSilent = false;
     uint64_t mTerm = 1;
     uint64_t mFencedTerm = 0;
     uint64_t mOffset = 0;
