--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -124,12 +124,12 @@
                     PeerMessage aMessage)
 {
   aCall.mStartedAt = mLastTick.mRunTime;
-  if (!aPeer.mIsOpen) {
-    aCall.mUnsent = { std::move(aMessage), mClock() };
-  }
-  aPeer.mCalls[aCallId] = std::move(aCall);
   if (aPeer.mIsOpen) {
+    aPeer.mCalls[aCallId] = std::move(aCall);
     aPeer.mChannel->Send(aMessage);
+  } else {
+    aCall.mUnsent = { std::move(aMessage), mClock() };
+    aPeer.mCalls[aCallId] = std::move(aCall);
   }
 }
 
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -192,8 +192,9 @@
     // than half of one from new reports of two members.
     since = std::max(since, aNow - mSettings.mMaxFrontierAge / 2);
     // A frontier is a position of the primary.
-    std::ranges::stable_partition(
-      order, [&](const auto& it) { return it == primary->mName; });
+    std::stable_partition(order.begin(), order.end(), [&](const auto& it) {
+      return it == primary->mName;
+    });
   }
   for (const auto& it : order) {
     if (remaining == 0) {
