LibRelay: Say in one place which statements may have an effect

RelaySession and ForwardingRunner had the same condition. EndLostAttempts moves beside the expiry of attempts, and Abandon chooses a kind instead of repeating the answer. Behaviour is unchanged: test-relay and test-peer pass, and the linter on the four sources.

--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -24,15 +24,6 @@
   return aNow - aRequest.mReceivedAt >= aRequest.mRoute.mTimeout;
 }
 
-/// Whether the statement may have changed a database once it was sent.
-bool
-MayHaveTakenEffect(const RelayRequest& aRequest)
-{
-  return aRequest.mStatement.mType == StatementType::Commit ||
-         (aRequest.mAccess == Access::Write &&
-          aRequest.mMode == TransactionMode::None);
-}
-
 ForwardStatement
 MakeForwardStatement(const RelayRequest& aRequest, Instant aNow)
 {
@@ -238,7 +229,7 @@
                                    const std::string& aPeer)
 {
   const auto& request = aPending->mRequest;
-  if (MayHaveTakenEffect(request)) {
+  if (request.MayHaveEffect()) {
     FinishWithError(
       aPending,
       aPeer,
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -453,17 +453,6 @@
   }
 }
 
-void
-RelayGroup::EndLostAttempts()
-{
-  const auto attempts = mAttempts;
-  for (const auto& it : attempts) {
-    if (!it->mHasEnded && !it->mLink->IsReady()) {
-      OnConnectionLost(it);
-    }
-  }
-}
-
 void
 RelayGroup::Retry(const AttemptPointer& aAttempt, const Error& aReason)
 {
--- a/Libraries/LibRelay/RelayGroupEnding.cpp
+++ b/Libraries/LibRelay/RelayGroupEnding.cpp
@@ -94,6 +94,17 @@
         { "queued", std::to_string(mPendingRequests.size()) } });
 }
 
+void
+RelayGroup::EndLostAttempts()
+{
+  const auto attempts = mAttempts;
+  for (const auto& it : attempts) {
+    if (!it->mHasEnded && !it->mLink->IsReady()) {
+      OnConnectionLost(it);
+    }
+  }
+}
+
 /// Closes the connection of an attempt that is not answered within the timeout
 /// of the route; the database then rolls back the open transaction, if any.
 void
--- a/Libraries/LibRelay/RelayRequest.h
+++ b/Libraries/LibRelay/RelayRequest.h
@@ -56,6 +56,12 @@
   /// When this statement arrived.
   Instant mReceivedAt;
 
+  /// Whether the statement may have a lasting effect once it was sent.
+  bool MayHaveEffect() const
+  {
+    return mStatement.mType == StatementType::Commit ||
+           (mAccess == Access::Write && mMode == TransactionMode::None);
+  }
   /// Whether the statement writes, or belongs to a transaction that may.
   bool MayWrite() const
   {
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -90,13 +90,10 @@
     return false;
   }
   const bool isUnsent = mRunner->Cancel(*mState);
-  if (mMayHaveEffect && !isUnsent) {
-    Fail({ ErrorKind::OutcomeUnknown, "this instance is shutting down" });
-  } else if (mPhase != Phase::None) {
-    Fail({ ErrorKind::WriteNotRun, "this instance is shutting down" });
-  } else {
-    Fail({ ErrorKind::ShuttingDown, "this instance is shutting down" });
-  }
+  const auto kind = mMayHaveEffect && !isUnsent ? ErrorKind::OutcomeUnknown
+                    : mPhase != Phase::None     ? ErrorKind::WriteNotRun
+                                                : ErrorKind::ShuttingDown;
+  Fail({ kind, "this instance is shutting down" });
   return true;
 }
 
@@ -245,9 +242,7 @@
 void
 RelaySession::Send(RelayRequest aRequest)
 {
-  mMayHaveEffect = aRequest.mStatement.mType == StatementType::Commit ||
-                   (aRequest.mAccess == Access::Write &&
-                    aRequest.mMode == TransactionMode::None);
+  mMayHaveEffect = aRequest.MayHaveEffect();
   // The session may be destroyed before the answer arrives.
   auto handler = [weak = weak_from_this(), runner = mRunner, aRequest](
                    const RelayOutcome& aOutcome) {
