Libraries: Name accounts, authority, quotas and distances in the interfaces

Cause: a configuration with client accounts, limits on the age of the configuration and quotas can't be served: callers' keys are read by nobody, connections are opened under one fixed name, and frames between instances carry no account.

Change: the types that the parts meet at. ClientAccounts finds an account by key; a route may be public; StatementAuthority travels with a statement, its key does not leave the instance; ChannelTarget names the account of a database connection; QuotaGate admits operations; Topology and Distance replace "same domain"; frames between instances carry account, age of the authority, load and a feature level, and those of older instances are still read. New settings: regions, link_mbps, authority_timeout, quota_tolerance.

Connections are not yet opened under the account of their statement.

--- a/Libraries/LibConfiguration/RelayConfiguration.cpp
+++ b/Libraries/LibConfiguration/RelayConfiguration.cpp
@@ -11,4 +11,15 @@
   return it != mRoutes.end() ? &*it : nullptr;
 }
 
+bool
+RelayConfiguration::operator==(const RelayConfiguration& aOther) const
+{
+  const bool haveSameAccounts =
+    mAccounts == aOther.mAccounts ||
+    (mAccounts && aOther.mAccounts && *mAccounts == *aOther.mAccounts);
+  return mVersion == aOther.mVersion && mRoutes == aOther.mRoutes &&
+         mGroups == aOther.mGroups &&
+         mTransactionIdle == aOther.mTransactionIdle && haveSameAccounts;
+}
+
 }
--- a/Libraries/LibConfiguration/RelayConfiguration.h
+++ b/Libraries/LibConfiguration/RelayConfiguration.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "LibConfiguration/ClientAccounts.h"
 #include "LibConfiguration/Configuration.h"
 
 #include <cstdint>
+#include <memory>
 
 namespace papayaline {
 
@@ -44,6 +46,9 @@
   Milliseconds mTargetLatency = std::chrono::milliseconds(200);
   /// The priority under load; lower ranks are served first.
   unsigned mRank = 0;
+  /// Whether callers need no key. Statements of public routes run on behalf of
+  /// no account.
+  bool mIsPublic = false;
 
   auto operator<=>(const RelayRoute&) const = default;
 };
@@ -69,11 +74,14 @@
   std::vector<RelayGroupConfiguration> mGroups;
   /// A transaction that is idle for longer is rolled back.
   Milliseconds mTransactionIdle = std::chrono::seconds(3);
+  /// Unset when the deployment has no client accounts; then every caller is
+  /// served. Shared, because each statement refers to it.
+  std::shared_ptr<const ClientAccounts> mAccounts;
 
   /// Returns null when no route has that database name.
   const RelayRoute* FindRoute(const std::string& aDatabase) const;
 
-  auto operator<=>(const RelayConfiguration&) const = default;
+  bool operator==(const RelayConfiguration& aOther) const;
 };
 
 }
--- a/Libraries/LibConfiguration/RelaySettings.cpp
+++ b/Libraries/LibConfiguration/RelaySettings.cpp
@@ -11,6 +11,20 @@
 constexpr const char kRelaySection[] = "relay";
 constexpr double kMinProcessorShare = 0.01;
 constexpr double kMaxProcessorShare = 1024;
+constexpr double kMinLinkMbps = 0.1;
+constexpr double kMaxLinkMbps = 1'000'000;
+constexpr double kMaxQuotaSlack = 1'000'000;
+
+QuotaTolerance
+ReadQuotaTolerance(YamlMap& aMap)
+{
+  QuotaTolerance tolerance;
+  tolerance.mWindow =
+    aMap.Duration("window", 1s, 10min).value_or(tolerance.mWindow);
+  tolerance.mExcess = aMap.Number("excess", 0, 0, 1);
+  tolerance.mSlack = aMap.Number("slack", 0, 0, kMaxQuotaSlack);
+  return tolerance;
+}
 
 }
 
@@ -44,6 +58,20 @@
         : Acknowledgement::Majority;
     settings.mStore = relay->HostAndPort("store");
     settings.mPromotion = relay->HostAndPort("promotion");
+    if (auto regions = relay->Map("regions")) {
+      settings.mRegions = regions->StringMap();
+      map.MergeError(regions->Finish());
+    }
+    if (relay->Has("link_mbps")) {
+      settings.mLinkMbps =
+        relay->Number("link_mbps", 1.0, kMinLinkMbps, kMaxLinkMbps);
+    }
+    settings.mAuthorityTimeout =
+      relay->Duration("authority_timeout", 1s, 10min);
+    if (auto quota = relay->Map("quota_tolerance")) {
+      settings.mQuotaTolerance = ReadQuotaTolerance(*quota);
+      map.MergeError(quota->Finish());
+    }
     settings.mGracePeriod = relay->Duration("grace", 1s, 10min).value_or(6s);
     map.MergeError(relay->Finish());
   }
--- a/Libraries/LibConfiguration/YamlMap.cpp
+++ b/Libraries/LibConfiguration/YamlMap.cpp
@@ -235,6 +235,20 @@
   return strings;
 }
 
+std::map<std::string, std::string>
+YamlMap::StringMap()
+{
+  std::map<std::string, std::string> strings;
+  if (!mNode.IsMap()) {
+    return strings;
+  }
+  for (const auto& it : mNode) {
+    const auto key = it.first.Scalar();
+    strings[key] = String(key);
+  }
+  return strings;
+}
+
 std::optional<YamlMap>
 YamlMap::Map(const std::string& aKey)
 {
--- a/Libraries/LibConfiguration/YamlMap.h
+++ b/Libraries/LibConfiguration/YamlMap.h
@@ -2,6 +2,7 @@
 
 #include "LibConfiguration/Configuration.h"
 
+#include <map>
 #include <set>
 #include <yaml-cpp/yaml.h>
 
@@ -39,6 +40,8 @@
   std::vector<YamlMap> MapList(const std::string& aKey);
   std::vector<std::string> StringList(const std::string& aKey);
   std::optional<YamlMap> Map(const std::string& aKey);
+  /// All entries of the mapping; each value must be a non-empty text.
+  std::map<std::string, std::string> StringMap();
 
   /// Whether the mapping has the key; does not mark it as known.
   bool Has(const std::string& aKey) const;
--- a/Libraries/LibCore/Error.cpp
+++ b/Libraries/LibCore/Error.cpp
@@ -92,6 +92,14 @@
                    "statement-timeout",
                    "57014",
                    Outcome::Unknown },
+  ErrorProperties{ ErrorKind::QuotaExceeded,
+                   "quota-exceeded",
+                   "53400",
+                   Outcome::NotRun },
+  ErrorProperties{ ErrorKind::AuthorityExpired,
+                   "authority-expired",
+                   "57P03",
+                   Outcome::NotRun },
   ErrorProperties{ ErrorKind::Internal, "internal", "XX000", Outcome::Unknown },
 };
 
--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -36,8 +36,16 @@
   StatementFailed,
   StatementTimeout,
   Internal,
+  /// The operation is beyond the quota of its client account.
+  QuotaExceeded,
+  /// The store did not confirm recently enough that the caller may run
+  /// statements.
+  AuthorityExpired,
 };
 
+/// The last kind of the list.
+constexpr auto kLastErrorKind = ErrorKind::AuthorityExpired;
+
 /// Whether a request that ended with an error may have taken effect.
 enum class Outcome
 {
--- a/Libraries/LibDecision/RelayRouting.cpp
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -13,8 +13,9 @@
 {
   const auto slots = std::max(aCandidate.mSlots, 1U);
   const auto waiting = aCandidate.mInFlight / slots;
-  const auto domainPenalty =
-    aCandidate.mIsSameDomain ? Duration{} : aSettings.mCrossDomainPenalty;
+  const auto domainPenalty = aCandidate.mDistance == Distance::SameDomain
+                               ? Duration{}
+                               : aSettings.mCrossDomainPenalty;
   return aCandidate.mServiceTime * (1 + waiting) +
          aCandidate.mServiceTime * (aCandidate.mInFlight % slots) /
            (2 * slots) +
--- a/Libraries/LibDecision/RelayRouting.h
+++ b/Libraries/LibDecision/RelayRouting.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/GroupView.h"
+#include "LibDecision/Topology.h"
 
 namespace papayaline {
 
@@ -24,7 +25,7 @@
   std::string mName;
   /// Whether a connection is idle or may be opened.
   bool mIsAvailable = true;
-  bool mIsSameDomain = false;
+  Distance mDistance = Distance::SameRegion;
   /// Whether the database already refused this statement.
   bool mIsExcluded = false;
   unsigned mInFlight = 0;
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -40,6 +40,13 @@
   statement.mValues = aRequest.mSession->mValues;
   statement.mLastWritePosition = aRequest.mSession->mLastWritePosition;
   statement.mPreparedQuery = aRequest.mPreparedQuery;
+  statement.mAccount = aRequest.mAuthority.mAccount;
+  statement.mAccountRank = aRequest.mAuthority.mAccountRank;
+  if (const auto confirmedAt = aRequest.mAuthority.mConfirmedAt) {
+    // Rounded up, since an older authority allows less.
+    statement.mAuthorityAge =
+      std::chrono::ceil<Milliseconds>(aNow - *confirmedAt);
+  }
   return statement;
 }
 
--- a/Libraries/LibPeer/PeerMessages.cpp
+++ b/Libraries/LibPeer/PeerMessages.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr int64_t kMaxRank = 1'000'000;
+
 /// Reads the items of a JSON array in order. IsValid tells whether all items
 /// that were read exist and have the expected type.
 class ArrayReader
@@ -124,6 +126,19 @@
   return static_cast<qint64>(aTime.count());
 }
 
+/// An optional time is an array of one number, or null.
+QJsonValue
+FromOptionalTime(const std::optional<Milliseconds>& aTime)
+{
+  return aTime ? QJsonValue(QJsonArray{ FromTime(*aTime) }) : QJsonValue();
+}
+
+std::optional<Milliseconds>
+ReadOptionalTime(ArrayReader& aReader)
+{
+  return aReader.Optional([](ArrayReader& it) { return it.Time(); });
+}
+
 QJsonValue
 FromPosition(const std::optional<LogPosition>& aPosition)
 {
@@ -141,13 +156,36 @@
   });
 }
 
+QJsonValue
+FromLoad(const std::optional<GroupLoad>& aLoad)
+{
+  if (!aLoad) {
+    return {};
+  }
+  QJsonArray waits;
+  std::ranges::for_each(aLoad->mWaitByRank, [&](Duration it) {
+    waits.append(FromTime(std::chrono::ceil<Milliseconds>(it)));
+  });
+  return waits;
+}
+
+std::optional<GroupLoad>
+ReadLoad(ArrayReader& aReader)
+{
+  return aReader.Optional([](ArrayReader& aWaits) {
+    GroupLoad load;
+    aWaits.ForEachRemaining([&] { load.mWaitByRank.push_back(aWaits.Time()); });
+    return load;
+  });
+}
+
 QJsonArray
 FromRoute(const RelayRoute& aRoute)
 {
-  return { FromText(aRoute.mDatabase),    FromText(aRoute.mGroup),
-           FromChoice(aRoute.mFreshness), FromTime(aRoute.mMaxAge),
-           FromTime(aRoute.mTimeout),     FromTime(aRoute.mTargetLatency),
-           static_cast<int>(aRoute.mRank) };
+  return { FromText(aRoute.mDatabase),     FromText(aRoute.mGroup),
+           FromChoice(aRoute.mFreshness),  FromTime(aRoute.mMaxAge),
+           FromTime(aRoute.mTimeout),      FromTime(aRoute.mTargetLatency),
+           static_cast<int>(aRoute.mRank), aRoute.mIsPublic };
 }
 
 RelayRoute
@@ -160,7 +198,8 @@
   route.mMaxAge = aReader.Time();
   route.mTimeout = aReader.Time();
   route.mTargetLatency = aReader.Time();
-  route.mRank = static_cast<unsigned>(aReader.Integer(0, 1'000'000));
+  route.mRank = static_cast<unsigned>(aReader.Integer(0, kMaxRank));
+  route.mIsPublic = !aReader.IsAtEnd() && aReader.Flag();
   aOuter.MergeValidity(aReader);
   return route;
 }
@@ -168,7 +207,9 @@
 QJsonArray
 ToArray(const PeerHello& aMessage)
 {
-  return { aMessage.mVersion, FromText(aMessage.mInstance) };
+  return { aMessage.mVersion,
+           FromText(aMessage.mInstance),
+           aMessage.mFeatureLevel };
 }
 
 bool
@@ -176,6 +217,9 @@
 {
   aMessage.mVersion = static_cast<int>(aReader.Integer(1, 1'000'000));
   aMessage.mInstance = aReader.Text();
+  // Instances of an older version send no feature level.
+  aMessage.mFeatureLevel =
+    aReader.IsAtEnd() ? 0 : static_cast<int>(aReader.Integer(0, 1'000'000));
   return aReader.IsValid();
 }
 
@@ -206,7 +250,10 @@
            FromTime(aMessage.mReceivedAgo),
            values,
            FromPosition(aMessage.mLastWritePosition),
-           query };
+           query,
+           FromText(aMessage.mAccount),
+           static_cast<int>(aMessage.mAccountRank),
+           FromOptionalTime(aMessage.mAuthorityAge) };
 }
 
 bool
@@ -235,6 +282,12 @@
     const auto access = it.Choice(Access::Write);
     return PreparedQuery{ access, it.Text() };
   });
+  // Instances of an older version send no account.
+  if (!aReader.IsAtEnd()) {
+    aMessage.mAccount = aReader.Text();
+    aMessage.mAccountRank = static_cast<unsigned>(aReader.Integer(0, kMaxRank));
+    aMessage.mAuthorityAge = ReadOptionalTime(aReader);
+  }
   return aReader.IsValid();
 }
 
@@ -249,12 +302,15 @@
     answer.mError ? QJsonValue(QJsonArray{ FromChoice(answer.mError->mKind),
                                            FromText(answer.mError->mMessage) })
                   : QJsonValue();
-  return {
-    FromNumber(aMessage.mCall),           aMessage.mIsDeclined,
-    FromNumber(aMessage.mTransaction),    rows,
-    FromText(answer.mSignature),          error,
-    FromChoice(answer.mTransactionState), FromPosition(answer.mPosition)
-  };
+  return { FromNumber(aMessage.mCall),
+           aMessage.mIsDeclined,
+           FromNumber(aMessage.mTransaction),
+           rows,
+           FromText(answer.mSignature),
+           error,
+           FromChoice(answer.mTransactionState),
+           FromPosition(answer.mPosition),
+           FromLoad(aMessage.mLoad) };
 }
 
 bool
@@ -269,11 +325,15 @@
   aReader.MergeValidity(rows);
   answer.mSignature = aReader.Text();
   answer.mError = aReader.Optional([](ArrayReader& it) {
-    const auto kind = it.Choice(ErrorKind::Internal);
+    const auto kind = it.Choice(kLastErrorKind);
     return Error{ kind, it.Text() };
   });
   answer.mTransactionState = aReader.Choice(TransactionState::Failed);
   answer.mPosition = ReadPosition(aReader);
+  // Instances of an older version send no load.
+  if (!aReader.IsAtEnd()) {
+    aMessage.mLoad = ReadLoad(aReader);
+  }
   return aReader.IsValid();
 }
 
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDecision/GroupLoad.h"
 #include "LibPlatform/ObjectStore.h"
 #include "LibRelay/RelayRequest.h"
 
@@ -15,8 +16,14 @@
 {
   static constexpr int kVersion = 1;
 
+  /// Raised with each addition that an older instance can't read. An instance
+  /// sends such messages only to instances of at least that level.
+  static constexpr int kFeatureLevel = 1;
+
   int mVersion = kVersion;
   std::string mInstance;
+  /// 0 from an instance that sends none.
+  int mFeatureLevel = kFeatureLevel;
 
   bool operator==(const PeerHello&) const = default;
 };
@@ -40,6 +47,12 @@
   std::map<std::string, std::string> mValues;
   std::optional<LogPosition> mLastWritePosition;
   std::optional<PreparedQuery> mPreparedQuery;
+  /// The client account; empty for none, and from an instance that sends none.
+  std::string mAccount;
+  unsigned mAccountRank = 0;
+  /// Time since the store confirmed the configuration that allows the
+  /// statement; unset where that time is not limited.
+  std::optional<Milliseconds> mAuthorityAge;
 
   bool operator==(const ForwardStatement&) const = default;
 };
@@ -53,6 +66,9 @@
   /// The transaction that remains open; 0 when there is none.
   uint64_t mTransaction = 0;
   StatementAnswer mAnswer;
+  /// The load of the group at the answering instance; unset when it is not
+  /// known.
+  std::optional<GroupLoad> mLoad;
 
   bool operator==(const ForwardAnswer&) const = default;
 };
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -101,6 +101,11 @@
   request.mSession = state;
   request.mPreparedQuery = aStatement.mPreparedQuery;
   request.mRoute = aStatement.mRoute;
+  request.mAuthority.mAccount = aStatement.mAccount;
+  request.mAuthority.mAccountRank = aStatement.mAccountRank;
+  if (aStatement.mAuthorityAge) {
+    request.mAuthority.mConfirmedAt = now - *aStatement.mAuthorityAge;
+  }
   request.mAccess = aStatement.mAccess;
   request.mMode = aStatement.mMode;
   request.mStartedAt = now - aStatement.mStartedAgo;
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -127,11 +127,11 @@
 void
 LinkPool::Open()
 {
-  const auto link =
-    std::make_shared<UpstreamLink>(mUpstream, mObserver, mClock);
+  const auto link = std::make_shared<UpstreamLink>(
+    ChannelTarget{ mGroup, mUpstream, {} }, mObserver, mClock);
   mEntries.push_back({ link, false });
   const std::weak_ptr weak = link;
-  link->Open(mOpener, mGroup, [this, weak](const std::optional<Error>& aError) {
+  link->Open(mOpener, [this, weak](const std::optional<Error>& aError) {
     if (const auto opened = weak.lock()) {
       OnState(opened, aError);
     }
--- a/Libraries/LibRelay/Protocols.h
+++ b/Libraries/LibRelay/Protocols.h
@@ -2,6 +2,7 @@
 
 #include "LibDecision/GroupView.h"
 #include "LibRelay/Statement.h"
+#include "LibRelay/UpstreamChannel.h"
 
 #include "LibCore/Result.h"
 
@@ -14,7 +15,8 @@
 struct SessionStartup
 {
   std::string mDatabase;
-  std::string mCaller;
+  /// What the caller identifies itself with; secret.
+  std::string mKey;
 
   bool operator==(const SessionStartup&) const = default;
 };
@@ -59,9 +61,9 @@
 public:
   virtual ~UpstreamProtocol() = default;
 
-  /// Encodes the opening, which names the group and the expected database.
-  virtual std::string EncodeStartup(const std::string& aGroup,
-                                    const std::string& aUpstream) const = 0;
+  /// Encodes the opening, which names the group, the expected database and the
+  /// client account.
+  virtual std::string EncodeStartup(const ChannelTarget& aTarget) const = 0;
   virtual std::string EncodeCommand(const UpstreamCommand& aCommand) const = 0;
 
   virtual void Append(const char* aBytes, size_t aSize) = 0;
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -4,8 +4,10 @@
 #include "LibDecision/ConcurrencyLimit.h"
 #include "LibDecision/RetryBudget.h"
 #include "LibDecision/TakeoverMachine.h"
+#include "LibDecision/Topology.h"
 #include "LibRelay/LinkPool.h"
 #include "LibRelay/Protocols.h"
+#include "LibRelay/QuotaGate.h"
 #include "LibRelay/StatementRunner.h"
 
 #include <list>
@@ -104,6 +106,15 @@
   UpstreamLink::Clock mNow;
   UpstreamProtocolFactory mMakeProtocol = nullptr;
   std::string mFailureDomain;
+  Topology mTopology;
+  /// How long after the store last confirmed a configuration statements run by
+  /// its authority; unset where the age of the configuration is not limited.
+  std::optional<Duration> mAuthorityTimeout;
+  /// Checks, right before a statement is sent to a database, whether it is
+  /// still allowed to run, and returns the reason if it is not; may be null.
+  std::function<std::optional<Error>(const RelayRequest&)> mCheckAuthority;
+  /// Null where operations are not limited.
+  QuotaGate* mQuota = nullptr;
   Acknowledgement mAcknowledgement = Acknowledgement::Majority;
   /// The promotion lease that this instance holds, if any; see TakeoverMachine.
   std::function<std::optional<LeaseGrant>()> mLeaseGrant;
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -32,7 +32,8 @@
     candidate.mIsAvailable =
       member.mPool->HasFree() && member.mBusyUntil <= now &&
       member.mPool->RunningCount() < member.mConcurrency.Limit();
-    candidate.mIsSameDomain = it.mFailureDomain == mEnvironment.mFailureDomain;
+    candidate.mDistance = mEnvironment.mTopology.Between(
+      mEnvironment.mFailureDomain, it.mFailureDomain);
     candidate.mIsExcluded = aPending.mExcludedUpstreams.contains(it.mName) ||
                             !MayReceiveWork(it, now);
     candidate.mInFlight = member.mPool->InUse();
--- a/Libraries/LibRelay/RelayRequest.h
+++ b/Libraries/LibRelay/RelayRequest.h
@@ -40,6 +40,24 @@
   bool mHasWritten = false;
 };
 
+/// On whose behalf a statement runs, and how recently the store confirmed the
+/// configuration that allows it.
+struct StatementAuthority
+{
+  /// The client account; empty on public routes and in configurations without
+  /// accounts.
+  std::string mAccount;
+  unsigned mAccountRank = 0;
+  /// The key that the caller presented; secret. Empty at an instance to which
+  /// the statement was forwarded.
+  std::string mKey;
+  /// When the store confirmed the configuration, on this instance's clock.
+  /// Unset where the age of the configuration is not limited.
+  std::optional<Instant> mConfirmedAt;
+
+  bool operator==(const StatementAuthority&) const = default;
+};
+
 /// A statement to run at a database.
 struct RelayRequest
 {
@@ -48,6 +66,7 @@
   /// Set when the statement executes a prepared one.
   std::optional<PreparedQuery> mPreparedQuery;
   RelayRoute mRoute;
+  StatementAuthority mAuthority;
   Access mAccess = Access::Read;
   /// The mode of the transaction that the statement belongs to or opens.
   TransactionMode mMode = TransactionMode::None;
--- a/Libraries/LibRelay/RelayRouter.cpp
+++ b/Libraries/LibRelay/RelayRouter.cpp
@@ -22,6 +22,72 @@
 RelayRouter::RelayRouter(RelayEnvironment aEnvironment)
   : mEnvironment(std::move(aEnvironment))
 {
+  mEnvironment.mCheckAuthority = [this](const RelayRequest& aRequest) {
+    return CheckAuthority(aRequest);
+  };
+}
+
+void
+RelayRouter::ConfirmConfiguration(Instant aConfirmedAt)
+{
+  mConfirmedAt = std::max(mConfirmedAt.value_or(aConfirmedAt), aConfirmedAt);
+}
+
+bool
+RelayRouter::IsExpired(std::optional<Instant> aConfirmedAt) const
+{
+  const auto& limit = mEnvironment.mAuthorityTimeout;
+  return limit && (!aConfirmedAt || Now() - *aConfirmedAt >= *limit);
+}
+
+Result<StatementAuthority>
+RelayRouter::FindAuthority(const RelayRoute& aRoute,
+                           const std::string& aKey) const
+{
+  StatementAuthority authority;
+  if (!mConfiguration->mAccounts || aRoute.mIsPublic) {
+    return authority;
+  }
+  const auto* account = mConfiguration->mAccounts->FindByKey(aKey);
+  if (!account) {
+    return Error{ ErrorKind::AuthenticationFailed,
+                  "no account holds the caller's key" };
+  }
+  if (IsExpired(mConfirmedAt)) {
+    return Error{ ErrorKind::AuthorityExpired,
+                  "the store did not confirm the configuration in time" };
+  }
+  authority.mAccount = account->mName;
+  authority.mAccountRank = account->mRank;
+  authority.mKey = aKey;
+  if (mEnvironment.mAuthorityTimeout) {
+    authority.mConfirmedAt = mConfirmedAt;
+  }
+  return authority;
+}
+
+std::optional<Error>
+RelayRouter::CheckAuthority(const RelayRequest& aRequest) const
+{
+  const auto& authority = aRequest.mAuthority;
+  if (authority.mAccount.empty()) {
+    return std::nullopt;
+  }
+  if (authority.mKey.empty()) {
+    return IsExpired(authority.mConfirmedAt)
+             ? std::optional(
+                 Error{ ErrorKind::AuthorityExpired,
+                        "the authority of the forwarded statement expired" })
+             : std::nullopt;
+  }
+  const auto current = FindAuthority(aRequest.mRoute, authority.mKey);
+  if (current.IsError()) {
+    return current.GetError();
+  }
+  return current.Value().mAccount == authority.mAccount
+           ? std::nullopt
+           : std::optional(Error{ ErrorKind::AuthenticationFailed,
+                                  "the key moved to another account" });
 }
 
 bool
--- a/Libraries/LibRelay/RelayRouter.h
+++ b/Libraries/LibRelay/RelayRouter.h
@@ -45,6 +45,18 @@
   /// Applies a configuration. Returns false, without a change, when its version
   /// is not higher than the active one.
   bool ApplyConfigurationIfNewer(const RelayConfiguration& aConfiguration);
+  /// Records that the store confirmed the active configuration at an instant:
+  /// at the latest when the call that it answered was sent.
+  void ConfirmConfiguration(Instant aConfirmedAt);
+  /// The authority of a caller's key for a route of the active configuration.
+  /// Errors: AuthenticationFailed when no account holds the key and the route
+  /// is not public; AuthorityExpired when the store last confirmed the
+  /// configuration too long ago. Precondition: configured.
+  Result<StatementAuthority> FindAuthority(const RelayRoute& aRoute,
+                                           const std::string& aKey) const;
+  /// Whether a statement that was allowed when it arrived may still be sent to
+  /// a database: the reason if not.
+  std::optional<Error> CheckAuthority(const RelayRequest& aRequest) const;
   void SetDirectory(const std::vector<DirectoryEntry>& aEntries);
 
   bool IsConfigured() const { return mConfiguration.has_value(); }
@@ -79,10 +91,12 @@
   };
 
   void ApplyMembers();
+  bool IsExpired(std::optional<Instant> aConfirmedAt) const;
 
   RelayEnvironment mEnvironment;
   RunnerFactory mMakeRunner;
   std::optional<RelayConfiguration> mConfiguration;
+  std::optional<Instant> mConfirmedAt;
   std::vector<DirectoryEntry> mEntries;
   std::map<std::string, GroupEntry> mGroups;
   Admission mAdmission = Admission::Everything;
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -7,9 +7,11 @@
 
 RelaySession::RelaySession(RelayRouter& aRouter,
                            std::string aDatabase,
+                           std::string aKey,
                            Responder aRespond)
   : mRouter(aRouter)
   , mDatabase(std::move(aDatabase))
+  , mKey(std::move(aKey))
   , mRespond(std::move(aRespond))
   , mState(std::make_shared<SessionState>())
 {
@@ -117,6 +119,19 @@
   }
   mRoute = *route;
   mRunner = std::move(runner);
+  return Identify();
+}
+
+/// Looks up the account of the caller's key in the active configuration.
+bool
+RelaySession::Identify()
+{
+  const auto authority = mRouter.FindAuthority(mRoute, mKey);
+  if (authority.IsError()) {
+    Fail(authority.GetError());
+    return false;
+  }
+  mAuthority = authority.Value();
   return true;
 }
 
@@ -145,6 +160,7 @@
   request.mStatement = aStatement;
   request.mSession = mState;
   request.mRoute = mRoute;
+  request.mAuthority = mAuthority;
   request.mMode = mMode;
   request.mReceivedAt = mRouter.Now();
   request.mStartedAt =
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -12,9 +12,12 @@
 public:
   using Responder = std::function<void(const StatementAnswer&)>;
 
-  /// aRespond is called once for each statement, possibly before Handle
-  /// returns.
-  RelaySession(RelayRouter& aRouter, std::string aDatabase, Responder aRespond);
+  /// aKey identifies the caller. aRespond is called once for each statement,
+  /// possibly before Handle returns.
+  RelaySession(RelayRouter& aRouter,
+               std::string aDatabase,
+               std::string aKey,
+               Responder aRespond);
   ~RelaySession();
 
   /// Precondition: the previous statement has been answered.
@@ -60,6 +63,7 @@
   /// transaction is always allowed.
   bool IsAdmitted(const CallerStatement& aStatement) const;
   bool ResolveRoute();
+  bool Identify();
   RelayRequest MakeRequest(const CallerStatement& aStatement) const;
   void Send(RelayRequest aRequest);
   void OnOutcome(const RelayOutcome& aOutcome, const RelayRequest& aRequest);
@@ -71,11 +75,13 @@
 
   RelayRouter& mRouter;
   std::string mDatabase;
+  std::string mKey;
   Responder mRespond;
   std::shared_ptr<SessionState> mState;
   Phase mPhase = Phase::None;
   TransactionMode mMode = TransactionMode::None;
   RelayRoute mRoute;
+  StatementAuthority mAuthority;
   std::shared_ptr<StatementRunner> mRunner;
   std::shared_ptr<OpenTransaction> mTransaction;
   Error mFailure;
--- a/Libraries/LibRelay/UpstreamChannel.h
+++ b/Libraries/LibRelay/UpstreamChannel.h
@@ -28,11 +28,22 @@
   virtual void Send(const UpstreamCommand& aCommand) = 0;
 };
 
+/// What a channel is opened to. A database connection belongs to one client
+/// account until it is closed.
+struct ChannelTarget
+{
+  std::string mGroup;
+  std::string mUpstream;
+  /// Empty for statements of no account and for control commands.
+  std::string mAccount;
+
+  bool operator==(const ChannelTarget&) const = default;
+};
+
 /// Opens a channel to a database of a group. No event is delivered before the
 /// call returns.
 using ChannelOpener =
-  std::function<std::unique_ptr<UpstreamChannel>(const std::string& aGroup,
-                                                 const std::string& aUpstream,
+  std::function<std::unique_ptr<UpstreamChannel>(const ChannelTarget& aTarget,
                                                  ChannelEvents aEvents)>;
 
 }
--- a/Libraries/LibRelay/UpstreamLink.cpp
+++ b/Libraries/LibRelay/UpstreamLink.cpp
@@ -4,10 +4,10 @@
 
 namespace papayaline {
 
-UpstreamLink::UpstreamLink(std::string aUpstream,
+UpstreamLink::UpstreamLink(ChannelTarget aTarget,
                            LinkObserver& aObserver,
                            Clock aClock)
-  : mUpstream(std::move(aUpstream))
+  : mTarget(std::move(aTarget))
   , mObserver(aObserver)
   , mClock(std::move(aClock))
   , mOpenedAt(mClock())
@@ -16,9 +16,7 @@
 }
 
 void
-UpstreamLink::Open(const ChannelOpener& aOpener,
-                   const std::string& aGroup,
-                   StateHandler aOnState)
+UpstreamLink::Open(const ChannelOpener& aOpener, StateHandler aOnState)
 {
   mOnState = std::move(aOnState);
   // Weak, because the pool may drop the link at any time.
@@ -34,8 +32,8 @@
       self->OnClosed(aError);
     }
   };
-  mChannel = aOpener(aGroup, mUpstream, std::move(events));
-  mObserver.OnRequestSent(mUpstream, mOpenedAt);
+  mChannel = aOpener(mTarget, std::move(events));
+  mObserver.OnRequestSent(mTarget.mUpstream, mOpenedAt);
 }
 
 void
@@ -44,7 +42,7 @@
   const auto now = mClock();
   mLastUsedAt = now;
   mCommandsInFlight.push_back({ aCommand, std::move(aHandler), now });
-  mObserver.OnRequestSent(mUpstream, now);
+  mObserver.OnRequestSent(mTarget.mUpstream, now);
   mChannel->Send(aCommand);
 }
 
@@ -78,7 +76,7 @@
       return;
     }
     mState = State::Ready;
-    mObserver.OnAnswered(mUpstream, aAnswer, mOpenedAt);
+    mObserver.OnAnswered(mTarget.mUpstream, aAnswer, mOpenedAt);
     mOnState(std::nullopt);
     return;
   }
@@ -92,7 +90,7 @@
   if (!aAnswer.mError) {
     mSession.OnAcknowledged(command.mCommand);
   }
-  mObserver.OnAnswered(mUpstream, aAnswer, command.mSentAt);
+  mObserver.OnAnswered(mTarget.mUpstream, aAnswer, command.mSentAt);
   command.mHandler(aAnswer);
 }
 
--- a/Libraries/LibRelay/UpstreamLink.h
+++ b/Libraries/LibRelay/UpstreamLink.h
@@ -38,14 +38,12 @@
   /// fails, before or after that; at most once each.
   using StateHandler = std::function<void(const std::optional<Error>&)>;
 
-  UpstreamLink(std::string aUpstream, LinkObserver& aObserver, Clock aClock);
+  UpstreamLink(ChannelTarget aTarget, LinkObserver& aObserver, Clock aClock);
 
   /// Opens the connection. aOnState is called when the link becomes Ready and
   /// when it fails, but not by Close. Precondition: called once, on a link that
   /// a shared pointer owns.
-  void Open(const ChannelOpener& aOpener,
-            const std::string& aGroup,
-            StateHandler aOnState);
+  void Open(const ChannelOpener& aOpener, StateHandler aOnState);
 
   /// Sends a command; several may be in flight. aHandler is called once, with
   /// UpstreamLost when the connection closes before the answer.
@@ -55,7 +53,9 @@
   /// Closes the connection; handlers of commands in flight are not called.
   void Close();
 
-  const std::string& Upstream() const { return mUpstream; }
+  const std::string& Upstream() const { return mTarget.mUpstream; }
+  /// The client account that the connection belongs to; may be empty.
+  const std::string& Account() const { return mTarget.mAccount; }
   State GetState() const { return mState; }
   TransactionState Transaction() const { return mTransaction; }
   UpstreamSessionState& Session() { return mSession; }
@@ -83,7 +83,7 @@
   void OnAnswer(const StatementAnswer& aAnswer);
   void OnClosed(const Error& aError);
 
-  std::string mUpstream;
+  ChannelTarget mTarget;
   LinkObserver& mObserver;
   Clock mClock;
   StateHandler mOnState;
--- a/Services/Papayalined/Relay/CallerConnection.cpp
+++ b/Services/Papayalined/Relay/CallerConnection.cpp
@@ -120,13 +120,21 @@
                      "this instance has not loaded its configuration yet" });
     return;
   }
-  if (!configuration->FindRoute(aStartup.mDatabase)) {
+  const auto* route = configuration->FindRoute(aStartup.mDatabase);
+  if (!route) {
     CloseWithError({ ErrorKind::UnknownGroup, aStartup.mDatabase });
     return;
   }
+  const auto authority = mListener.mRouter.FindAuthority(*route, aStartup.mKey);
+  if (authority.IsError() &&
+      authority.GetError().mKind == ErrorKind::AuthenticationFailed) {
+    CloseWithError(authority.GetError());
+    return;
+  }
   mSession = std::make_shared<RelaySession>(
     mListener.mRouter,
     aStartup.mDatabase,
+    aStartup.mKey,
     [this](const StatementAnswer& aAnswer) { Respond(aAnswer); });
   Write(mProtocol->EncodeWelcome());
 }
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -155,6 +155,8 @@
   environment.mNow = Now;
   environment.mMakeProtocol = mPlatform.mUpstreamProtocol;
   environment.mFailureDomain = mSettings.mFailureDomain;
+  environment.mTopology = Topology(mSettings.mRegions);
+  environment.mAuthorityTimeout = mSettings.mAuthorityTimeout;
   environment.mAcknowledgement = mSettings.mAcknowledgement;
   environment.mLog = Log;
   environment.mObserveLatency = [](RelayLatency aKind, Duration aTime) {
@@ -170,13 +172,11 @@
                                        const std::string& aUpstream) {
     mLeaseController.OrderPromotion(aGroup, aUpstream);
   };
-  environment.mOpenChannel = [this](const std::string& aGroup,
-                                    const std::string& aUpstream,
+  environment.mOpenChannel = [this](const ChannelTarget& aTarget,
                                     ChannelEvents aEvents) {
     return std::make_unique<UpstreamSocket>(
-      mDirectory.FindAddress(aUpstream).value_or(Address()),
-      aGroup,
-      aUpstream,
+      mDirectory.FindAddress(aTarget.mUpstream).value_or(Address()),
+      aTarget,
       mPlatform.mUpstreamProtocol(),
       std::move(aEvents));
   };
--- a/Services/Papayalined/Relay/UpstreamSocket.cpp
+++ b/Services/Papayalined/Relay/UpstreamSocket.cpp
@@ -36,8 +36,7 @@
 };
 
 UpstreamSocket::UpstreamSocket(const Address& aAddress,
-                               const std::string& aGroup,
-                               const std::string& aUpstream,
+                               const ChannelTarget& aTarget,
                                std::unique_ptr<UpstreamProtocol> aProtocol,
                                ChannelEvents aEvents)
   : mCore(std::make_shared<Core>())
@@ -49,8 +48,8 @@
   QObject::connect(socket, &QTcpSocket::connected, socket, [=] {
     if (const auto core = weak.lock()) {
       socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-      socket->write(QByteArray::fromStdString(
-        core->mProtocol->EncodeStartup(aGroup, aUpstream)));
+      socket->write(
+        QByteArray::fromStdString(core->mProtocol->EncodeStartup(aTarget)));
       socket->flush();
     }
   });
--- a/Services/Papayalined/Relay/UpstreamSocket.h
+++ b/Services/Papayalined/Relay/UpstreamSocket.h
@@ -13,8 +13,7 @@
 {
 public:
   UpstreamSocket(const Address& aAddress,
-                 const std::string& aGroup,
-                 const std::string& aUpstream,
+                 const ChannelTarget& aTarget,
                  std::unique_ptr<UpstreamProtocol> aProtocol,
                  ChannelEvents aEvents);
   ~UpstreamSocket() override;
--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -252,14 +252,14 @@
   const auto log = [](const std::string&, const auto&) {};
   auto environment = mDatabases->MakeEnvironment();
   environment.mFailureDomain = aDomain;
-  environment.mOpenChannel =
-    [it, open = environment.mOpenChannel](const std::string& aGroup,
-                                          const std::string& aName,
-                                          ChannelEvents aEvents) {
-      ++it->mOpenedConnections;
-      const bool isReachable = !it->mUnreachableDatabases.contains(aName);
-      return open(aGroup, isReachable ? aName : "nowhere", std::move(aEvents));
-    };
+  environment.mOpenChannel = [it, open = environment.mOpenChannel](
+                               ChannelTarget aTarget, ChannelEvents aEvents) {
+    ++it->mOpenedConnections;
+    if (it->mUnreachableDatabases.contains(aTarget.mUpstream)) {
+      aTarget.mUpstream = "nowhere";
+    }
+    return open(aTarget, std::move(aEvents));
+  };
   it->mRouter = std::make_unique<RelayRouter>(environment);
   it->mPeers = std::make_unique<PeerPool>(
     it->mInfo.mName,
@@ -476,10 +476,13 @@
   ++configuration.mVersion;
   aInstance.mRouter->ApplyConfigurationIfNewer(configuration);
   auto caller = std::make_unique<FakeUpstreams::Caller>();
-  caller->mSession = std::make_shared<RelaySession>(
-    *aInstance.mRouter, "db", [it = caller.get()](const auto& aAnswer) {
-      it->mAnswers.push_back(aAnswer);
-    });
+  caller->mSession =
+    std::make_shared<RelaySession>(*aInstance.mRouter,
+                                   "db",
+                                   std::string(),
+                                   [it = caller.get()](const auto& aAnswer) {
+                                     it->mAnswers.push_back(aAnswer);
+                                   });
   return caller;
 }
 
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -26,9 +26,10 @@
 class FakeUpstreams::Channel : public UpstreamChannel
 {
 public:
-  Channel(FakeUpstreams& aFake, std::string aName, ChannelEvents aEvents)
+  Channel(FakeUpstreams& aFake, ChannelTarget aTarget, ChannelEvents aEvents)
     : mFake(aFake)
-    , mName(std::move(aName))
+    , mName(std::move(aTarget.mUpstream))
+    , mAccount(std::move(aTarget.mAccount))
     , mEvents(std::make_shared<ChannelEvents>(std::move(aEvents)))
   {
     const auto it = mFake.mDatabases.find(mName);
@@ -65,6 +66,7 @@
       return;
     }
     const auto answer = mFake.Execute(database, aCommand, mState);
+    database.mRanFor.resize(database.mRan.size(), mAccount);
     const bool isLost = database.mLosesAnswers &&
                         (aCommand.mType == CommandType::Forward ||
                          aCommand.mType == CommandType::ForwardPrepared);
@@ -77,6 +79,7 @@
 private:
   FakeUpstreams& mFake;
   std::string mName;
+  std::string mAccount;
   std::shared_ptr<ChannelEvents> mEvents;
   TransactionState mState = TransactionState::None;
 };
@@ -129,10 +132,9 @@
   environment.mLog = [this](const std::string& aEvent, const auto&) {
     mLog.push_back(aEvent);
   };
-  environment.mOpenChannel = [this](const std::string&,
-                                    const std::string& aUpstream,
+  environment.mOpenChannel = [this](const ChannelTarget& aTarget,
                                     ChannelEvents aEvents) {
-    return std::make_unique<Channel>(*this, aUpstream, std::move(aEvents));
+    return std::make_unique<Channel>(*this, aTarget, std::move(aEvents));
   };
   return environment;
 }
@@ -205,6 +207,15 @@
   mRouter->ApplyConfigurationIfNewer(mConfiguration);
 }
 
+void
+FakeUpstreams::SetAccounts(std::vector<ClientAccount> aAccounts)
+{
+  ++mConfiguration.mVersion;
+  mConfiguration.mAccounts =
+    std::make_shared<const ClientAccounts>(std::move(aAccounts));
+  mRouter->ApplyConfigurationIfNewer(mConfiguration);
+}
+
 void
 FakeUpstreams::Promote(const std::string& aName)
 {
@@ -382,11 +393,14 @@
 }
 
 std::unique_ptr<FakeUpstreams::Caller>
-FakeUpstreams::Connect(const std::string& aDatabase)
+FakeUpstreams::Connect(const std::string& aDatabase, const std::string& aKey)
 {
   auto caller = std::make_unique<Caller>();
   caller->mSession = std::make_shared<RelaySession>(
-    *mRouter, aDatabase, [it = caller.get()](const StatementAnswer& aAnswer) {
+    *mRouter,
+    aDatabase,
+    aKey,
+    [it = caller.get()](const StatementAnswer& aAnswer) {
       it->mAnswers.push_back(aAnswer);
     });
   return caller;
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -42,6 +42,8 @@
     unsigned mMaxConnections = 100;
     /// Statements of callers that ran, in order.
     std::vector<std::string> mRan;
+    /// The client account of the connection of each statement in mRan.
+    std::vector<std::string> mRanFor;
     /// All commands that arrived, in order.
     std::vector<UpstreamCommand> mArrived;
   };
@@ -70,6 +72,8 @@
   std::function<void()> mOnStep;
   RelayGroup& Group() { return *mRouter->FindGroup("g"); }
   void SetRoute(const RelayRoute& aRoute);
+  /// Applies a configuration with these client accounts.
+  void SetAccounts(std::vector<ClientAccount> aAccounts);
 
   Instant Now() const { return mNow; }
   /// Advances the clock in steps of 1 ms, with a tick of the router every 20
@@ -106,7 +110,8 @@
     bool IsAnswered() const { return !mSession->IsBusy(); }
     std::optional<ErrorKind> LastError() const;
   };
-  std::unique_ptr<Caller> Connect(const std::string& aDatabase = "db");
+  std::unique_ptr<Caller> Connect(const std::string& aDatabase = "db",
+                                  const std::string& aKey = {});
 
 private:
   class Channel;
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -157,6 +157,7 @@
     mCallers[it].mSession = std::make_shared<RelaySession>(
       *mInstances[mCallers[it].mInstance].mRouter,
       "db",
+      std::string(),
       [this, it](const StatementAnswer& aAnswer) { OnResponse(it, aAnswer); });
   }
   mNextFault = mNow + 500ms;
@@ -227,11 +228,10 @@
     Schedule(mNow + Milliseconds(200 + RandomBelow(400)),
              [this, aName] { Promote(aName); });
   };
-  environment.mOpenChannel = [this, aInstance](const std::string&,
-                                               const std::string& aUpstream,
+  environment.mOpenChannel = [this, aInstance](const ChannelTarget& aTarget,
                                                ChannelEvents aEvents) {
     return std::make_unique<Channel>(
-      *this, aInstance, aUpstream, std::move(aEvents));
+      *this, aInstance, aTarget.mUpstream, std::move(aEvents));
   };
   return environment;
 }
--- a/Tests/LoadPatterns/LoadWorld.cpp
+++ b/Tests/LoadPatterns/LoadWorld.cpp
@@ -187,10 +187,10 @@
                                        const std::string& aName) {
     Schedule(kPromotionTime, [this, aName] { Promote(aName); });
   };
-  environment.mOpenChannel = [this](const std::string&,
-                                    const std::string& aUpstream,
+  environment.mOpenChannel = [this](const ChannelTarget& aTarget,
                                     ChannelEvents aEvents) {
-    return std::make_unique<Channel>(*this, aUpstream, std::move(aEvents));
+    return std::make_unique<Channel>(
+      *this, aTarget.mUpstream, std::move(aEvents));
   };
   return environment;
 }
@@ -286,6 +286,7 @@
   aOperation->mSession = std::make_shared<RelaySession>(
     *mInstances[aOperation->mInstance],
     mPattern.mLoads[aOperation->mRoute].mRoute.mDatabase,
+    std::string(),
     [this, weak](const StatementAnswer& aAnswer) {
       // The session must not be destroyed while it responds.
       Schedule(kOneWayDelay, [this, weak, aAnswer] {
--- a/Tests/PlatformAdapter/TestLineProtocols.cpp
+++ b/Tests/PlatformAdapter/TestLineProtocols.cpp
@@ -158,7 +158,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("QUERY - PAUSE 4\r\n"),
                          protocol.EncodeCommand(fence));
     CPPUNIT_ASSERT_EQUAL(std::string("STARTUP huvo papayaline i-7f\r\n"),
-                         protocol.EncodeStartup("huvo", "i-7f"));
+                         protocol.EncodeStartup({ "huvo", "i-7f", {} }));
   }
 
   void UpstreamAnswerIsReadWhole()
