--- a/Meta/score-sites.sh
+++ b/Meta/score-sites.sh
@@ -13,6 +13,9 @@
 why=$2
 shift 2
 sites=(
+  demands/hfl-reykjavik-grown.toml
+  demands/rayon-laurentien-grown.toml
+  shifted/jingshui-tpe-now-grown.toml
   large/jingshui-tpe-large.toml
   further-grown/ramdin-lights-grown.toml
   further/ramdin-lights.toml
--- a/Tests/LibPeer/TestPeerMessages.cpp
+++ b/Tests/LibPeer/TestPeerMessages.cpp
@@ -13,6 +13,7 @@
 {
   CPPUNIT_TEST_SUITE(TestPeerMessages);
   CPPUNIT_TEST(MessagesOfAllTypesSurviveEncoding);
+  CPPUNIT_TEST(MessagesOfOlderInstancesAreRead);
   CPPUNIT_TEST(BytesOfAnyValueSurviveEncoding);
   CPPUNIT_TEST(MalformedMessagesAreErrors);
   CPPUNIT_TEST(DamagedMessagesAreErrorsOrMessages);
@@ -45,6 +46,9 @@
     statement.mValues = { { "name", "value" } };
     statement.mLastWritePosition = LogPosition{ 3, 1207 };
     statement.mPreparedQuery = PreparedQuery{ Access::Write, "q2c" };
+    statement.mAccount = "account-1";
+    statement.mAccountRank = 4;
+    statement.mAuthorityAge = 2100ms;
     return statement;
   }
 
@@ -57,6 +61,7 @@
     answer.mAnswer.mSignature = "7.1f3";
     answer.mAnswer.mTransactionState = TransactionState::Open;
     answer.mAnswer.mPosition = LogPosition{ 3, 1209 };
+    answer.mLoad = GroupLoad{ { 0ms, 12ms, 250ms } };
     ForwardAnswer refusal;
     refusal.mCall = 8;
     refusal.mAnswer.mError = Error{ ErrorKind::QueueFull, "no slot" };
@@ -88,6 +93,23 @@
     }
   }
 
+  void MessagesOfOlderInstancesAreRead()
+  {
+    const auto hello = DecodePeerMessage(R"(["hello",1,"i1"])");
+    CPPUNIT_ASSERT(std::get<PeerHello>(hello.Value()).mFeatureLevel == 0);
+    const auto run = DecodePeerMessage(
+      R"(["run",7,0,"5c0e",4,"READ 1a4","","",["db","g",0,0,1000,200,2],0,0,)"
+      R"(15,2,{},null,null])");
+    CPPUNIT_ASSERT(!run.IsError());
+    const auto& statement = std::get<ForwardStatement>(run.Value());
+    CPPUNIT_ASSERT(statement.mAccount.empty() && !statement.mRoute.mIsPublic);
+    CPPUNIT_ASSERT(!statement.mAuthorityAge);
+    const auto ran =
+      DecodePeerMessage(R"(["ran",7,false,0,[],"s",null,0,null])");
+    CPPUNIT_ASSERT(!ran.IsError());
+    CPPUNIT_ASSERT(!std::get<ForwardAnswer>(ran.Value()).mLoad);
+  }
+
   void BytesOfAnyValueSurviveEncoding()
   {
     auto statement = Statement();
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -22,6 +22,12 @@
 constexpr int kMaxRestoreIntervalMs = 15'000;
 constexpr int kMaxLearningDelayMs = 4000;
 constexpr int kMaxLateWriteMs = 6000;
+constexpr size_t kAccounts = 3;
+constexpr auto kAuthorityTimeout = 1500ms;
+constexpr auto kConfirmationInterval = 300ms;
+constexpr int kMaxKeyChangeIntervalMs = 1500;
+/// Longer than the authority timeout.
+constexpr int kMaxKeyTakenMs = 4000;
 constexpr auto kDeafTime = 3000ms;
 constexpr auto kReplacementInterval = 4000ms;
 /// Replicas lag by this while primaries are replaced.
@@ -34,11 +40,12 @@
 public:
   Channel(RelayWorld& aWorld,
           size_t aInstance,
-          std::string aDatabase,
+          ChannelTarget aTarget,
           ChannelEvents aEvents)
     : mWorld(aWorld)
     , mInstance(aInstance)
-    , mDatabase(std::move(aDatabase))
+    , mDatabase(std::move(aTarget.mUpstream))
+    , mAccount(std::move(aTarget.mAccount))
     , mShared(std::make_shared<Shared>())
   {
     mShared->mEvents = std::move(aEvents);
@@ -52,8 +59,9 @@
 
   void Send(const UpstreamCommand& aCommand) override
   {
-    RoundTrip([aCommand](RelayWorld& aOf, Shared& aState, Database& aAt) {
-      return aOf.Execute(aAt, aCommand, aState.mSession);
+    RoundTrip([aCommand, account = mAccount](
+                RelayWorld& aOf, Shared& aState, Database& aAt) {
+      return aOf.Execute(aAt, aCommand, aState.mSession, account);
     });
   }
 
@@ -103,6 +111,7 @@
   RelayWorld& mWorld;
   size_t mInstance;
   std::string mDatabase;
+  std::string mAccount;
   std::shared_ptr<Shared> mShared;
 };
 
@@ -116,6 +125,7 @@
   , mDisruption(aDisruption)
   , mLeaseObject(StoredLease{ { "", "", 0, true, 1 }, { 1, 1 } })
   , mStoreRandom(aSeed)
+  , mKeyRandom(aSeed)
 {
   for (const auto* it : { "a", "b", "c" }) {
     Database database;
@@ -126,22 +136,21 @@
     }
     mDatabases.push_back(database);
   }
-  RelayConfiguration configuration;
-  configuration.mVersion = 1;
+  mConfiguration.mVersion = 1;
   RelayRoute route;
   route.mDatabase = "db";
   route.mGroup = "g";
   route.mFreshness = aFreshness;
   route.mMaxAge = kMaxAge;
-  configuration.mRoutes = { route };
-  configuration.mGroups = { { "g", 60, 0 } };
+  mConfiguration.mRoutes = { route };
+  mConfiguration.mGroups = { { "g", 60, 0 } };
   mInstances.resize(kInstances);
   for (size_t it = 0; it < kInstances; ++it) {
     mInstances[it].mLease =
       std::make_unique<PromotionLease>("i" + std::to_string(it), "1");
     ObserveEra(it);
     mInstances[it].mRouter = std::make_unique<RelayRouter>(MakeEnvironment(it));
-    mInstances[it].mRouter->ApplyConfigurationIfNewer(configuration);
+    mInstances[it].mRouter->ApplyConfigurationIfNewer(mConfiguration);
   }
   PublishDirectory({});
   for (const auto& it : mInstances) {
@@ -151,13 +160,21 @@
     Caller caller;
     caller.mInstance = it % kInstances;
     caller.mNextAt = mNow + 300ms;
+    if (aDisruption == Disruption::KeysTakenAway) {
+      caller.mAccount = "account-" + std::to_string(it % kAccounts);
+      caller.mKey = "key-" + std::to_string(it);
+    }
     mCallers.push_back(std::move(caller));
   }
+  if (aDisruption == Disruption::KeysTakenAway) {
+    PublishAccounts();
+    ConfirmConfigurations();
+  }
   for (size_t it = 0; it < mCallers.size(); ++it) {
     mCallers[it].mSession = std::make_shared<RelaySession>(
       *mInstances[mCallers[it].mInstance].mRouter,
       "db",
-      std::string(),
+      mCallers[it].mKey,
       [this, it](const StatementAnswer& aAnswer) { OnResponse(it, aAnswer); });
   }
   mNextFault = mNow + 500ms;
@@ -196,6 +213,9 @@
   environment.mMakeProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d";
   environment.mAcknowledgement = mAcknowledgement;
+  if (mDisruption == Disruption::KeysTakenAway) {
+    environment.mAuthorityTimeout = kAuthorityTimeout;
+  }
   environment.mLog = [](const auto&, const auto&) {};
   environment.mLeaseGrant = [this, aInstance] {
     return mInstances[aInstance].mLease->Grant(mNow);
@@ -231,7 +251,7 @@
   environment.mOpenChannel = [this, aInstance](const ChannelTarget& aTarget,
                                                ChannelEvents aEvents) {
     return std::make_unique<Channel>(
-      *this, aInstance, aTarget.mUpstream, std::move(aEvents));
+      *this, aInstance, aTarget, std::move(aEvents));
   };
   return environment;
 }
@@ -332,6 +352,73 @@
   }
 }
 
+void
+RelayWorld::PublishAccounts()
+{
+  std::vector<ClientAccount> accounts(kAccounts);
+  for (size_t it = 0; it < kAccounts; ++it) {
+    accounts[it].mName = "account-" + std::to_string(it);
+  }
+  for (size_t it = 0; it < mCallers.size(); ++it) {
+    if (!mCallers[it].mKeyTakenAt) {
+      accounts[it % kAccounts].mKeys.push_back(mCallers[it].mKey);
+    }
+  }
+  ++mConfiguration.mVersion;
+  mConfiguration.mAccounts =
+    std::make_shared<const ClientAccounts>(std::move(accounts));
+}
+
+void
+RelayWorld::TakeKey()
+{
+  const auto draw = [this](int aBelow) {
+    return std::uniform_int_distribution<>(0, aBelow - 1)(mKeyRandom);
+  };
+  mNextKeyChange = mNow + Milliseconds(draw(kMaxKeyChangeIntervalMs));
+  auto& caller =
+    mCallers[static_cast<size_t>(draw(static_cast<int>(mCallers.size())))];
+  auto& instance = mInstances[static_cast<size_t>(draw(kInstances))];
+  instance.mCutFromStoreUntil = mNow + Milliseconds(draw(kMaxKeyTakenMs));
+  if (caller.mKeyTakenAt) {
+    return;
+  }
+  caller.mKeyTakenAt = mNow;
+  PublishAccounts();
+  Schedule(mNow + Milliseconds(draw(kMaxKeyTakenMs)), [this, &caller] {
+    caller.mKeyTakenAt.reset();
+    PublishAccounts();
+  });
+}
+
+void
+RelayWorld::ConfirmConfigurations()
+{
+  for (auto& it : mInstances) {
+    const bool isInContact =
+      mIsStoreUp && mNow >= it.mCutFromStoreUntil && mNow >= it.mSuspendedUntil;
+    if (isInContact) {
+      it.mRouter->ApplyConfigurationIfNewer(mConfiguration);
+      it.mRouter->ConfirmConfiguration(mNow);
+    }
+  }
+}
+
+/// A statement runs for the account of its caller, and not after its key was
+/// taken away for longer than the authority timeout.
+void
+RelayWorld::CheckAuthority(const std::string& aId, const std::string& aAccount)
+{
+  const auto& caller = mCallers[mRequests.at(aId)];
+  if (aAccount != caller.mAccount) {
+    ReportViolation("UNASKED: " + aId + " ran for \"" + aAccount + "\"");
+  }
+  if (caller.mKeyTakenAt &&
+      mNow - *caller.mKeyTakenAt > kAuthorityTimeout + kOneWayDelay) {
+    ReportViolation("CONFIG: " + aId + " ran after its key was taken away");
+  }
+}
+
 void
 RelayWorld::Schedule(Instant aAt, std::function<void()> aRun)
 {
@@ -492,7 +579,8 @@
 StatementAnswer
 RelayWorld::Execute(Database& aDatabase,
                     const UpstreamCommand& aCommand,
-                    DatabaseSession& aSession)
+                    DatabaseSession& aSession,
+                    const std::string& aAccount)
 {
   auto& [state, isReadOnly, staged] = aSession;
   StatementAnswer answer;
@@ -510,6 +598,7 @@
     aCommand.mMinPosition && applied < *aCommand.mMinPosition;
   switch (aCommand.mType) {
     case CommandType::Forward: {
+      CheckAuthority(aCommand.mId, aAccount);
       const bool isWrite = aCommand.mText.starts_with("WRITE");
       const bool isCommit = aCommand.mText == "COMMIT";
       const bool isRefusedByReplica =
@@ -618,6 +707,10 @@
   const bool isEnd = caller.mStatement == "COMMIT" || !caller.mIsTransaction;
   const bool isWrite = isEnd && !caller.mPendingWrite.empty();
   if (aAnswer.mError) {
+    mUnauthorized += aAnswer.mError->mKind == ErrorKind::AuthenticationFailed ||
+                         aAnswer.mError->mKind == ErrorKind::AuthorityExpired
+                       ? 1
+                       : 0;
     const bool saysNotRun =
       AnswerFor(aAnswer.mError->mKind).mOutcome == Outcome::NotRun;
     if (saysNotRun && !caller.mPendingWrite.empty() &&
@@ -769,6 +862,14 @@
       mNextFault = mNow + Milliseconds(300 + RandomBelow(2000));
       InjectFault();
     }
+    if (mDisruption == Disruption::KeysTakenAway) {
+      if (sinceEpoch % kConfirmationInterval == 0ms) {
+        ConfirmConfigurations();
+      }
+      if (mNow >= mNextKeyChange) {
+        TakeKey();
+      }
+    }
     if (mDisruption == Disruption::ReplacementsBesideDeafReplicas &&
         mNow >= mNextReplacement) {
       mNextReplacement = mNow + kReplacementInterval;
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -25,6 +25,9 @@
     None,
     /// Primaries leave and are replaced while a replica receives nothing.
     ReplacementsBesideDeafReplicas,
+    /// Callers have accounts, whose keys are taken away and given back, and
+    /// instances lose the store one by one.
+    KeysTakenAway,
   };
 
   RelayWorld(unsigned aSeed,
@@ -40,6 +43,8 @@
   size_t Reads() const { return mReads; }
   size_t Promotions() const { return mPromotions; }
   size_t Restores() const { return mRestores; }
+  /// Statements that were refused for lack of a key or of authority.
+  size_t Unauthorized() const { return mUnauthorized; }
 
 private:
   struct Entry
@@ -77,9 +82,15 @@
     /// Until then its callers send no writes, whose refusal would tell it of
     /// another primary.
     Instant mReadsOnlyUntil;
+    /// Until then the store answers all instances but this one.
+    Instant mCutFromStoreUntil;
   };
   struct Caller
   {
+    std::string mAccount;
+    std::string mKey;
+    /// Since when no account holds the key.
+    std::optional<Instant> mKeyTakenAt;
     std::shared_ptr<RelaySession> mSession;
     size_t mInstance = 0;
     Instant mAskedAt;
@@ -119,7 +130,8 @@
   static LogPosition EndOf(const Database& aDatabase, size_t aSize);
   StatementAnswer Execute(Database& aDatabase,
                           const UpstreamCommand& aCommand,
-                          DatabaseSession& aSession);
+                          DatabaseSession& aSession,
+                          const std::string& aAccount);
   void Commit(Database& aDatabase, const std::string& aWrite);
   void CheckRead(const Database& aDatabase, const std::string& aId);
   void Promote(const std::string& aName);
@@ -136,6 +148,11 @@
   void ReleaseLease(Instance& aInstance);
   void ObserveEra(size_t aInstance);
   void RestoreStore();
+  void TakeKey();
+  void PublishAccounts();
+  /// Lets the instances that reach the store confirm the configuration.
+  void ConfirmConfigurations();
+  void CheckAuthority(const std::string& aId, const std::string& aAccount);
   Milliseconds RandomStoreDelay(int aBelowMs);
   void SendNextStatement(size_t aCaller);
   void OnResponse(size_t aCaller, const StatementAnswer& aAnswer);
@@ -160,6 +177,11 @@
   std::mt19937 mStoreRandom;
   std::deque<StoreCopy> mStoreCopies;
   Instant mNextRestore;
+  /// Draws the changes of keys, so that they don't change the other draws.
+  std::mt19937 mKeyRandom;
+  Instant mNextKeyChange;
+  RelayConfiguration mConfiguration;
+  size_t mUnauthorized = 0;
   size_t mRestores = 0;
   uint64_t mLastToken = 0;
   size_t mLastHolder = 0;
--- a/Tests/LibRelay/TestExploration.cpp
+++ b/Tests/LibRelay/TestExploration.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(OwnReadsUnderFaultsKeepTheRules);
   CPPUNIT_TEST(WritesAcknowledgedByMajoritiesAreNotLost);
   CPPUNIT_TEST(PrimariesReplacedBesideDeafReplicasNoReadIsStale);
+  CPPUNIT_TEST(KeysTakenAwayNothingRunsAfterTheTimeout);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr unsigned kSeeds = 40;
@@ -29,6 +30,7 @@
     size_t reads = 0;
     size_t promotions = 0;
     size_t restores = 0;
+    size_t unauthorized = 0;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
       RelayWorld world(seed, aFreshness, aAcknowledgement, aDisruption);
       world.Run(15s);
@@ -36,6 +38,7 @@
       reads += world.Reads();
       promotions += world.Promotions();
       restores += world.Restores();
+      unauthorized += world.Unauthorized();
       if (!world.Violations().empty()) {
         CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " +
                      world.Violations().front());
@@ -43,13 +46,15 @@
     }
     std::cout << " " << acknowledged << " writes, " << reads << " reads, "
               << promotions << " promotions, " << restores
-              << " restores of the store ";
+              << " restores of the store, " << unauthorized << " unauthorized ";
     // Guards against a simulation in which faults prevent all progress, which
     // would violate no rule.
     CPPUNIT_ASSERT(acknowledged > kSeeds * 100);
     CPPUNIT_ASSERT(reads > kSeeds * 100);
     CPPUNIT_ASSERT(promotions > kSeeds / 2);
     CPPUNIT_ASSERT(restores > kSeeds / 2);
+    CPPUNIT_ASSERT(aDisruption != RelayWorld::Disruption::KeysTakenAway ||
+                   unauthorized > kSeeds);
   }
 
 public:
@@ -64,6 +69,13 @@
   }
   void OwnReadsUnderFaultsKeepTheRules() { Explore(Freshness::ReadYourWrites); }
 
+  void KeysTakenAwayNothingRunsAfterTheTimeout()
+  {
+    Explore(Freshness::ReadYourWrites,
+            Acknowledgement::Leader,
+            RelayWorld::Disruption::KeysTakenAway);
+  }
+
   /// Guards against reads at a replaced primary that follows the next one and
   /// lags, while the only other replica that is asked stays in its term.
   void PrimariesReplacedBesideDeafReplicasNoReadIsStale()
--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -15,6 +15,9 @@
 /// machine.
 constexpr int kGraceMs = 9000;
 constexpr int kRestartMs = 300;
+constexpr int kMaxKeyChangeIntervalMs = 3000;
+/// Longer than the authority timeout, so that statements are sent after it.
+constexpr int kMaxKeyTakenMs = 9000;
 constexpr int kCopyIntervalMs = 500;
 /// Copies of the store between two restores at most.
 constexpr int kMaxCopies = 40;
@@ -31,6 +34,7 @@
   , mMix(aMix)
   , mRandom(aSeed)
   , mStoreRandom(aSeed)
+  , mKeyRandom(aSeed)
   , mIsStoreRestored(aMix == FaultMix::Everything &&
                      aSeed % kRestoredEvery == 0)
   , mIsDown(static_cast<size_t>(aDeployment.InstanceCount()), false)
@@ -44,6 +48,30 @@
   if (mIsStoreRestored) {
     ScheduleRestore();
   }
+  if (mDeployment.Accounts().HasAccounts()) {
+    ScheduleKeyChange();
+  }
+}
+
+void
+FaultSchedule::ScheduleKeyChange()
+{
+  const auto wait = static_cast<int>(mKeyRandom() % kMaxKeyChangeIntervalMs);
+  QTimer::singleShot(wait, this, [this] {
+    if (mIsHealed) {
+      return;
+    }
+    const auto caller = static_cast<int>(
+      mKeyRandom() % static_cast<uint64_t>(mDeployment.CallerCount()));
+    const auto duration = static_cast<int>(mKeyRandom() % kMaxKeyTakenMs);
+    if (mDeployment.Accounts().IsKeyHeld(caller)) {
+      RecordFault("take the key of caller " + std::to_string(caller), duration);
+      mDeployment.SetKeyHeld(caller, false);
+      ScheduleEnd(duration,
+                  [this, caller] { mDeployment.SetKeyHeld(caller, true); });
+    }
+    ScheduleKeyChange();
+  });
 }
 
 void
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -49,6 +49,9 @@
   /// a generator of its own, so that the sequence of the other faults of a seed
   /// stays the same.
   void ScheduleRestore();
+  /// Takes keys of callers away and gives them back, with a generator of its
+  /// own too.
+  void ScheduleKeyChange();
 
   void RecordFault(const std::string& aWhat, int aDurationMs);
   int Pick(int aCount);
@@ -61,6 +64,7 @@
   FaultMix mMix;
   std::mt19937_64 mRandom;
   std::mt19937_64 mStoreRandom;
+  std::mt19937_64 mKeyRandom;
   bool mIsStoreRestored;
   std::vector<LineStore::Copy> mStoreCopies;
   bool mIsHealed = false;
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -21,7 +21,7 @@
 IsNotRunError(const QByteArray& aError)
 {
   static const std::vector<QByteArray> sNotRunErrors = {
-    "BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT"
+    "BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT", "DENIED"
   };
   return std::ranges::find(sNotRunErrors, aError) != sNotRunErrors.end();
 }
@@ -85,7 +85,7 @@
   mSocket->write("STARTUP " +
                  QByteArray(mIsLatest ? SoakDeployment::kLatestRoute
                                       : SoakDeployment::kOwnWritesRoute) +
-                 " till-" + QByteArray::number(mNumber) + "\r\n");
+                 " " + AccountCheck::KeyOf(mNumber) + "\r\n");
   QTimer::singleShot(kRequestTimeoutMs, mSocket, [this, socket = mSocket] {
     if (mSocket == socket && mStep == Step::Connecting) {
       OnDisconnected();
@@ -143,8 +143,10 @@
 {
   mStep = aStep;
   mSentAtMs = mClock.elapsed();
-  mSocket->write("QUERY r" + QByteArray::number(mNumber) + "-" +
-                 QByteArray::number(++mRequests) + " " + aText + "\r\n");
+  const auto id =
+    "r" + QByteArray::number(mNumber) + "-" + QByteArray::number(++mRequests);
+  mDeployment.Accounts().OnSent(id.toStdString(), mNumber);
+  mSocket->write("QUERY " + id + " " + aText + "\r\n");
   QTimer::singleShot(
     kRequestTimeoutMs, mSocket, [this, socket = mSocket, n = mRequests] {
       if (mSocket == socket && mRequests == n && mStep != Step::Idle) {
--- a/Tests/Soak/SoakDeployment.cpp
+++ b/Tests/Soak/SoakDeployment.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr const char kProbeKey[] = "soak";
+
 QJsonObject
 Route(const QString& aDatabase, const QString& aKind)
 {
@@ -30,8 +32,14 @@
 
 }
 
-SoakDeployment::SoakDeployment(int aInstances, int aSyncReplicas, QString aLogs)
+SoakDeployment::SoakDeployment(int aInstances,
+                               int aSyncReplicas,
+                               int aAccounts,
+                               int aCallers,
+                               QString aLogs)
   : mSyncReplicas(aSyncReplicas)
+  , mAccounts(aAccounts)
+  , mCallers(aCallers)
   , mLogs(std::move(aLogs))
 {
   mStore.mOnPromote = [this](const QString& aName) {
@@ -39,6 +47,10 @@
     PublishDatabases();
     return isPromoted;
   };
+  mDatabases.mOnLine = [this](const std::string& aAccount,
+                              const QByteArray& aLine) {
+    mAccounts.OnLine(aAccount, aLine);
+  };
   for (const auto& it : mDatabases.All()) {
     AddLink(it->mName, it->mPort);
   }
@@ -49,7 +61,7 @@
   mStore.Put(
     "papayaline-duties", "promotion", { { "released", true }, { "era", 1 } });
   for (int n = 0; n < aInstances; ++n) {
-    mPorts.push_back({ FreePort(), FreePort(), FreePort() });
+    mPorts.push_back({ FreePort(), FreePort(), FreePort(), FreePort() });
     AddLink("callers-" + std::to_string(n), mPorts.back().mCallers);
     AddLink("store-" + std::to_string(n), mStore.Port());
     mInstances.push_back(nullptr);
@@ -91,12 +103,23 @@
   if (!file.open(QIODevice::WriteOnly)) {
     qFatal("can't write the settings file of an instance");
   }
+  // Quotas are kept by exchanges between instances.
+  const auto accountSettings =
+    mAccounts.HasAccounts()
+      ? "  peer_address: " + Local(ports.mPeers) + "  authority_timeout: " +
+          QByteArray::number(AccountCheck::kAuthorityTimeoutMs) + "ms\n" +
+          "  quota_tolerance: { window: " +
+          QByteArray::number(AccountCheck::kQuotaWindowMs) +
+          "ms, excess: " + QByteArray::number(AccountCheck::kQuotaExcess) +
+          ", slack: " + QByteArray::number(AccountCheck::kQuotaSlack) + " }\n"
+      : QByteArray();
   file.write("instance: entry-" + QByteArray::number(aInstance) +
              "\nfailure_domain: z\ncaller_address: " + Local(ports.mCallers) +
              "relay:\n  readiness_address: " + Local(ports.mReady) +
-             "  readiness_path: /ready\n" + "  metrics_address: " +
-             Local(ports.mMetrics) + "  store: " + Local(store) +
-             "  promotion: " + Local(store) + "  grace: 6s\n");
+             "  readiness_path: /ready\n" +
+             "  metrics_address: " + Local(ports.mMetrics) +
+             "  store: " + Local(store) + "  promotion: " + Local(store) +
+             accountSettings + "  grace: 6s\n");
   return file.fileName();
 }
 
@@ -135,7 +158,8 @@
   if (!socket.waitForConnected(kWaitMs)) {
     return false;
   }
-  socket.write("STARTUP extra-" + QByteArray::number(mVersion) + " soak\r\n");
+  socket.write("STARTUP extra-" + QByteArray::number(mVersion) + " " +
+               kProbeKey + "\r\n");
   return socket.waitForReadyRead(kWaitMs) &&
          socket.readAll().startsWith("READY");
 }
@@ -148,6 +172,36 @@
   PublishDatabases();
 }
 
+void
+SoakDeployment::SetKeyHeld(int aCaller, bool aIsHeld)
+{
+  mAccounts.SetKeyHeld(aCaller, aIsHeld);
+  PublishConfiguration();
+}
+
+QJsonArray
+SoakDeployment::AccountEntries() const
+{
+  QJsonArray entries{ QJsonObject{ { "name", "probe" },
+                                   { "apiKeys", QJsonArray{ kProbeKey } } } };
+  for (int account = 0; account < mAccounts.Count(); ++account) {
+    QJsonArray keys;
+    for (int caller = account; caller < mCallers; caller += mAccounts.Count()) {
+      if (mAccounts.IsKeyHeld(caller)) {
+        keys.append(QString::fromLatin1(AccountCheck::KeyOf(caller)));
+      }
+    }
+    const auto quota = mAccounts.QuotaOf(account);
+    entries.append(QJsonObject{
+      { "name", QString::fromStdString(mAccounts.AccountOf(account)) },
+      { "apiKeys", keys },
+      { "priority", 1 },
+      { "ratePerS", quota.mRatePerSecond },
+      { "burst", quota.mBurst } });
+  }
+  return entries;
+}
+
 void
 SoakDeployment::PublishConfiguration()
 {
@@ -163,16 +217,19 @@
     Route(kOwnWritesRoute, "read_your_writes"),
     Route("extra-" + QString::number(mVersion), "primary"),
   };
-  mStore.Put(
-    "config",
-    "main",
-    { { "configVersion", mVersion },
-      { "routes", routes },
-      { "backends",
-        QJsonArray{ QJsonObject{ { "name", "group-1" },
-                                 { "maxConns", 40 },
-                                 { "syncReplicas", mSyncReplicas } } } },
-      { "limits", QJsonObject{ { "txIdleMs", 3000 } } } });
+  QJsonObject configuration{
+    { "configVersion", mVersion },
+    { "routes", routes },
+    { "backends",
+      QJsonArray{ QJsonObject{ { "name", "group-1" },
+                               { "maxConns", 40 },
+                               { "syncReplicas", mSyncReplicas } } } },
+    { "limits", QJsonObject{ { "txIdleMs", 3000 } } }
+  };
+  if (mAccounts.HasAccounts()) {
+    configuration["tenants"] = AccountEntries();
+  }
+  mStore.Put("config", "main", configuration);
 }
 
 void
--- a/Tests/Soak/SoakDeployment.h
+++ b/Tests/Soak/SoakDeployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AccountCheck.h"
 #include "ChildProcess.h"
 #include "FaultProxy/FaultLink.h"
 #include "Line/LineDatabases.h"
@@ -19,7 +20,12 @@
   /// A write is acknowledged once aSyncReplicas replicas have it; with 0 the
   /// primary alone is enough. If aLogs is not empty, the output of the
   /// processes is appended to files in this directory.
-  SoakDeployment(int aInstances, int aSyncReplicas, QString aLogs);
+  /// Callers have accounts if aAccounts is not 0.
+  SoakDeployment(int aInstances,
+                 int aSyncReplicas,
+                 int aAccounts,
+                 int aCallers,
+                 QString aLogs);
 
   int InstanceCount() const { return static_cast<int>(mInstances.size()); }
   /// Starts the process of an instance; a running process is killed first.
@@ -31,6 +37,10 @@
 
   LineDatabases& Databases() { return mDatabases; }
   LineStore& Store() { return mStore; }
+  AccountCheck& Accounts() { return mAccounts; }
+  /// Takes the key of a caller away or gives it back.
+  void SetKeyHeld(int aCaller, bool aIsHeld);
+  int CallerCount() const { return mCallers; }
   std::vector<std::string> LinkNames() const;
   FaultLink& Link(const std::string& aName) { return *mLinks.at(aName); }
 
@@ -56,13 +66,17 @@
     quint16 mCallers = 0;
     quint16 mReady = 0;
     quint16 mMetrics = 0;
+    quint16 mPeers = 0;
   };
 
   void WriteConfiguration();
+  QJsonArray AccountEntries() const;
   quint16 AddLink(const std::string& aName, quint16 aPort);
   QString WriteSettings(int aInstance);
 
   int mSyncReplicas;
+  AccountCheck mAccounts;
+  int mCallers;
   QString mLogs;
   QTemporaryDir mDirectory;
   LineDatabases mDatabases;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -28,6 +28,7 @@
   --instances=N      Number of instances [default: 3].
   --callers=N        Number of callers [default: 12].
   --sync-replicas=N  Replicas required to confirm a write [default: 0].
+  --accounts=N       Client accounts of the callers; 0 for none [default: 0].
   --logs=DIR         Directory for the logs of the processes.
 )";
 
@@ -43,6 +44,7 @@
   int mInstances = 3;
   int mCallers = 12;
   int mSyncReplicas = 0;
+  int mAccounts = 0;
   QString mLogs;
 };
 
@@ -94,8 +96,11 @@
   constexpr uint64_t kPlannedEvery = 4;
   const auto mix =
     aSeed % kPlannedEvery == 0 ? FaultMix::Planned : FaultMix::Everything;
-  SoakDeployment deployment(
-    aOptions.mInstances, aOptions.mSyncReplicas, aOptions.mLogs);
+  SoakDeployment deployment(aOptions.mInstances,
+                            aOptions.mSyncReplicas,
+                            aOptions.mAccounts,
+                            aOptions.mCallers,
+                            aOptions.mLogs);
   SoakHistory history;
   const bool isStarted = Await(kStartMs, [&] {
     return deployment.IsReady(0) && deployment.IsReady(aOptions.mInstances - 1);
@@ -132,6 +137,8 @@
   if (!std::ranges::is_sorted(deployment.Store().mFencingTokens)) {
     history.mViolations.push_back("a promotion had a lower fencing token");
   }
+  std::ranges::copy(deployment.Accounts().Violations(),
+                    std::back_inserter(history.mViolations));
   CheckLog(deployment.Databases().Primary().mLog, history);
   const auto count = [&](ReportedOutcome aOutcome) {
     return std::ranges::count(
@@ -189,6 +196,7 @@
   options.mSyncReplicas =
     static_cast<int>(arguments["--sync-replicas"].asLong());
   options.mCallers = static_cast<int>(arguments["--callers"].asLong());
+  options.mAccounts = static_cast<int>(arguments["--accounts"].asLong());
   if (arguments["--logs"]) {
     options.mLogs = QString::fromStdString(arguments["--logs"].asString());
   }
--- a/Tests/StandIns/Line/LineDatabases.cpp
+++ b/Tests/StandIns/Line/LineDatabases.cpp
@@ -186,6 +186,12 @@
            FormatPosition(aDatabase) + "\r\n";
   };
   const auto words = aLine.split(' ');
+  if (words[0] == "STARTUP") {
+    aConnection.mAccount = words.value(2).toStdString();
+  }
+  if (mOnLine) {
+    mOnLine(aConnection.mAccount, aLine);
+  }
   if (words[0] == "STARTUP") {
     const bool isExpectedDatabase = words.size() == 4 &&
                                     words[1] == "group-1" &&
--- a/Tests/StandIns/Line/LineDatabases.h
+++ b/Tests/StandIns/Line/LineDatabases.h
@@ -3,6 +3,7 @@
 #include <QJsonObject>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -41,6 +42,11 @@
   LineDatabases();
   ~LineDatabases() override;
 
+  /// Receives each line that arrives, with the client account of its
+  /// connection; may be null.
+  std::function<void(const std::string& aAccount, const QByteArray& aLine)>
+    mOnLine;
+
   Database& At(const std::string& aName);
   Database& Primary();
   std::vector<std::unique_ptr<Database>>& All() { return mDatabases; }
@@ -61,7 +67,7 @@
   struct Connection
   {
     QByteArray mBuffer;
-    bool mIsOpen = false;
+    std::string mAccount;
     bool mIsInTransaction = false;
     std::vector<std::pair<std::string, std::string>> mStaged;
   };
