LibRelay: Check keys of callers up to the last byte before a database

Cause: keys were looked up when a statement or transaction started, and nowhere after: a key taken away meanwhile went on in open transactions, in the queue and in retries. One unusable account made the whole configuration unreadable. An instance of an older version could have statements run without an account.

Change: an open transaction is checked before each of its statements and its COMMIT; RelayGroup asks RelayRouter::CheckAuthority right before BEGIN, a statement or COMMIT is written, and for waiting statements at each tick. A home refuses accounts that it does not know and declines statements without an account where one is needed. Unusable accounts are left out and reported with their place, without keys. Errors are counted by kind; refused keys are logged.

--- a/Libraries/LibConfiguration/RelayConfiguration.cpp
+++ b/Libraries/LibConfiguration/RelayConfiguration.cpp
@@ -19,7 +19,8 @@
     (mAccounts && aOther.mAccounts && *mAccounts == *aOther.mAccounts);
   return mVersion == aOther.mVersion && mRoutes == aOther.mRoutes &&
          mGroups == aOther.mGroups &&
-         mTransactionIdle == aOther.mTransactionIdle && haveSameAccounts;
+         mTransactionIdle == aOther.mTransactionIdle && haveSameAccounts &&
+         mProblems == aOther.mProblems;
 }
 
 }
--- a/Libraries/LibConfiguration/RelayConfiguration.h
+++ b/Libraries/LibConfiguration/RelayConfiguration.h
@@ -77,6 +77,9 @@
   /// Unset when the deployment has no client accounts; then every caller is
   /// served. Shared, because each statement refers to it.
   std::shared_ptr<const ClientAccounts> mAccounts;
+  /// Why entries of the document were left out, with their place in it. Holds
+  /// no keys.
+  std::vector<std::string> mProblems;
 
   /// Returns null when no route has that database name.
   const RelayRoute* FindRoute(const std::string& aDatabase) const;
--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -38,7 +38,7 @@
   Internal,
   /// The operation is beyond the quota of its client account.
   QuotaExceeded,
-  /// The store did not confirm recently enough that the caller may run
+  /// Nothing confirms, or not recently enough, that the caller may run
   /// statements.
   AuthorityExpired,
 };
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -116,7 +116,11 @@
   const auto group = isContinued
                        ? open->second.mGroup
                        : mServer.mRouter.FindGroup(aStatement.mRoute.mGroup);
-  const bool isDeclined = !isContinued && mServer.mIsDeclining;
+  // Instances of an older version don't tell the account.
+  const bool lacksAccount = aStatement.mAccount.empty() &&
+                            mServer.mRouter.NeedsAccount(aStatement.mRoute);
+  const bool isDeclined =
+    !isContinued && (mServer.mIsDeclining || lacksAccount);
   if (!group || isDeclined || (aStatement.mTransaction != 0 && !isContinued)) {
     ForwardAnswer declined;
     declined.mCall = aStatement.mCall;
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -264,6 +264,10 @@
   void Prepare(const AttemptPointer& aAttempt);
   void BeginTransaction(const AttemptPointer& aAttempt);
   void SendStatement(const AttemptPointer& aAttempt);
+  /// The last check before bytes of a statement are sent to a database. Refuses
+  /// it when its caller may not run it any more.
+  bool MayStillRun(const AttemptPointer& aAttempt);
+  std::optional<Error> FindDenial(const PendingRequest& aPending) const;
   /// Whether a statement may run at the primary now.
   bool MayRunAt(const GroupPrimary& aPrimary,
                 const RelayRequest& aRequest) const;
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -220,6 +220,9 @@
                     ? CommandType::BeginReadOnly
                     : CommandType::Begin;
   command.mMinPosition = aAttempt->mMinPosition;
+  if (!MayStillRun(aAttempt)) {
+    return;
+  }
   aAttempt->mLink->Run(command, [=, this](const StatementAnswer& aAnswer) {
     if (aAnswer.mError) {
       OnRefusal(aAttempt, aAnswer);
@@ -262,6 +265,9 @@
   if (!aAttempt->mTransaction) {
     command.mMinPosition = aAttempt->mMinPosition;
   }
+  if (!MayStillRun(aAttempt)) {
+    return;
+  }
   aAttempt->mIsStatementSent = true;
   aAttempt->mStatementSentAt = mEnvironment.mNow();
   if (aAttempt->mTransaction && request.mAccess == Access::Write) {
@@ -272,6 +278,32 @@
   });
 }
 
+std::optional<Error>
+RelayGroup::FindDenial(const PendingRequest& aPending) const
+{
+  return mEnvironment.mCheckAuthority
+           ? mEnvironment.mCheckAuthority(aPending.mRequest)
+           : std::nullopt;
+}
+
+bool
+RelayGroup::MayStillRun(const AttemptPointer& aAttempt)
+{
+  const auto pending = aAttempt->mPending;
+  const auto denial = FindDenial(*pending);
+  if (!denial) {
+    return true;
+  }
+  // Releasing the link rolls back an open transaction.
+  ReleaseLink(aAttempt);
+  RemoveAttempt(aAttempt);
+  // The answer of another attempt that was sent before decides.
+  if (pending->mInFlight == 0) {
+    Refuse(pending, *denial);
+  }
+  return false;
+}
+
 /// A read must not run at a primary that was replaced before the instant whose
 /// acknowledged writes the read must include. A write, or a transaction that
 /// may write, is sent only where replicas follow that can receive it. The
--- a/Libraries/LibRelay/RelayGroupQueue.cpp
+++ b/Libraries/LibRelay/RelayGroupQueue.cpp
@@ -160,10 +160,14 @@
 {
   const auto requests = mPendingRequests;
   for (const auto& it : requests) {
-    if (!it->IsWaiting() || aNow < DeadlineOf(*it)) {
+    if (!it->IsWaiting()) {
       continue;
     }
-    Refuse(it, ExpiryError(*it));
+    if (const auto denial = FindDenial(*it)) {
+      Refuse(it, *denial);
+    } else if (aNow >= DeadlineOf(*it)) {
+      Refuse(it, ExpiryError(*it));
+    }
   }
 }
 
--- a/Libraries/LibRelay/RelayRouter.cpp
+++ b/Libraries/LibRelay/RelayRouter.cpp
@@ -6,6 +6,30 @@
 
 namespace {
 
+Error
+Deny(const char* aReason)
+{
+  return { ErrorKind::AuthenticationFailed, aReason };
+}
+
+Error
+Expire(const char* aReason)
+{
+  return { ErrorKind::AuthorityExpired, aReason };
+}
+
+Error
+DenyUnknownKey()
+{
+  return Deny("no account holds the caller's key");
+}
+
+Error
+ExpireUnconfirmed()
+{
+  return Expire("the store did not confirm the configuration in time");
+}
+
 /// Whether neither a session nor another instance still references a group:
 /// the router and the runner hold the only pointers to it.
 bool
@@ -23,7 +47,7 @@
   : mEnvironment(std::move(aEnvironment))
 {
   mEnvironment.mCheckAuthority = [this](const RelayRequest& aRequest) {
-    return CheckAuthority(aRequest);
+    return CheckAuthority(aRequest.mRoute, aRequest.mAuthority);
   };
 }
 
@@ -40,6 +64,17 @@
   return limit && (!aConfirmedAt || Now() - *aConfirmedAt >= *limit);
 }
 
+bool
+RelayRouter::NeedsAccount(const RelayRoute& aRoute) const
+{
+  if (aRoute.mIsPublic || !mConfiguration || !mConfiguration->mAccounts) {
+    return false;
+  }
+  // Instances of an older version don't tell that a route is public.
+  const auto* known = mConfiguration->FindRoute(aRoute.mDatabase);
+  return !known || !known->mIsPublic;
+}
+
 Result<StatementAuthority>
 RelayRouter::FindAuthority(const RelayRoute& aRoute,
                            const std::string& aKey) const
@@ -50,12 +85,10 @@
   }
   const auto* account = mConfiguration->mAccounts->FindByKey(aKey);
   if (!account) {
-    return Error{ ErrorKind::AuthenticationFailed,
-                  "no account holds the caller's key" };
+    return DenyUnknownKey();
   }
   if (IsExpired(mConfirmedAt)) {
-    return Error{ ErrorKind::AuthorityExpired,
-                  "the store did not confirm the configuration in time" };
+    return ExpireUnconfirmed();
   }
   authority.mAccount = account->mName;
   authority.mAccountRank = account->mRank;
@@ -67,27 +100,55 @@
 }
 
 std::optional<Error>
-RelayRouter::CheckAuthority(const RelayRequest& aRequest) const
+RelayRouter::CheckAuthority(const RelayRoute& aRoute,
+                            const StatementAuthority& aAuthority) const
 {
-  const auto& authority = aRequest.mAuthority;
-  if (authority.mAccount.empty()) {
-    return std::nullopt;
-  }
-  if (authority.mKey.empty()) {
-    return IsExpired(authority.mConfirmedAt)
+  const auto* accounts = mConfiguration->mAccounts.get();
+  if (aAuthority.mAccount.empty()) {
+    return NeedsAccount(aRoute)
              ? std::optional(
-                 Error{ ErrorKind::AuthorityExpired,
-                        "the authority of the forwarded statement expired" })
+                 Expire("the statement was admitted without an account"))
              : std::nullopt;
   }
-  const auto current = FindAuthority(aRequest.mRoute, authority.mKey);
-  if (current.IsError()) {
-    return current.GetError();
+  if (aAuthority.mKey.empty()) {
+    return CheckForwardedAuthority(aAuthority);
+  }
+  const auto* account =
+    accounts ? accounts->FindByKey(aAuthority.mKey) : nullptr;
+  if (!account) {
+    return DenyUnknownKey();
+  }
+  if (account->mName != aAuthority.mAccount) {
+    return Deny("the key moved to another account");
+  }
+  return IsExpired(mConfirmedAt) ? std::optional(ExpireUnconfirmed())
+                                 : std::nullopt;
+}
+
+/// The instance that forwarded the statement looked up the key. An account that
+/// this instance does not know was dropped since, or is not known here yet.
+std::optional<Error>
+RelayRouter::CheckForwardedAuthority(const StatementAuthority& aAuthority) const
+{
+  const auto* accounts = mConfiguration->mAccounts.get();
+  if (!accounts || !accounts->FindByName(aAuthority.mAccount)) {
+    return Expire("the account of the forwarded statement is not configured");
+  }
+  return IsExpired(aAuthority.mConfirmedAt)
+           ? std::optional(
+               Expire("the authority of the forwarded statement expired"))
+           : std::nullopt;
+}
+
+void
+RelayRouter::RecordError(const std::string& aDatabase, const Error& aError)
+{
+  ++mErrorCounts[aError.mKind];
+  if (aError.mKind == ErrorKind::AuthenticationFailed) {
+    mEnvironment.mLog(
+      "session.denied",
+      { { "database", aDatabase }, { "reason", aError.mMessage } });
   }
-  return current.Value().mAccount == authority.mAccount
-           ? std::nullopt
-           : std::optional(Error{ ErrorKind::AuthenticationFailed,
-                                  "the key moved to another account" });
 }
 
 bool
--- a/Libraries/LibRelay/RelayRouter.h
+++ b/Libraries/LibRelay/RelayRouter.h
@@ -55,8 +55,19 @@
   Result<StatementAuthority> FindAuthority(const RelayRoute& aRoute,
                                            const std::string& aKey) const;
   /// Whether a statement that was allowed when it arrived may still be sent to
-  /// a database: the reason if not.
-  std::optional<Error> CheckAuthority(const RelayRequest& aRequest) const;
+  /// a database: the reason if not. Precondition: configured.
+  std::optional<Error> CheckAuthority(
+    const RelayRoute& aRoute,
+    const StatementAuthority& aAuthority) const;
+  /// Whether statements of a route run only on behalf of a client account.
+  bool NeedsAccount(const RelayRoute& aRoute) const;
+  /// Counts an error that a session answered, and logs the refusal of a key.
+  void RecordError(const std::string& aDatabase, const Error& aError);
+  /// Errors that sessions answered, by kind.
+  const std::map<ErrorKind, uint64_t>& ErrorCounts() const
+  {
+    return mErrorCounts;
+  }
   void SetDirectory(const std::vector<DirectoryEntry>& aEntries);
 
   bool IsConfigured() const { return mConfiguration.has_value(); }
@@ -92,6 +103,8 @@
 
   void ApplyMembers();
   bool IsExpired(std::optional<Instant> aConfirmedAt) const;
+  std::optional<Error> CheckForwardedAuthority(
+    const StatementAuthority& aAuthority) const;
 
   RelayEnvironment mEnvironment;
   RunnerFactory mMakeRunner;
@@ -99,6 +112,7 @@
   std::optional<Instant> mConfirmedAt;
   std::vector<DirectoryEntry> mEntries;
   std::map<std::string, GroupEntry> mGroups;
+  std::map<ErrorKind, uint64_t> mErrorCounts;
   Admission mAdmission = Admission::Everything;
 };
 
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -135,6 +135,12 @@
   return true;
 }
 
+std::optional<Error>
+RelaySession::FindDenial() const
+{
+  return mRouter.CheckAuthority(mRoute, mAuthority);
+}
+
 void
 RelaySession::Begin(const CallerStatement& aStatement)
 {
@@ -176,6 +182,9 @@
       return;
     }
     mMode = TransactionMode::None;
+  } else if (const auto denial = FindDenial()) {
+    Fail(*denial);
+    return;
   }
   auto request = MakeRequest(aStatement);
   request.mAccess =
@@ -208,6 +217,11 @@
     Fail({ ErrorKind::WriteNotRun, "the transaction was rolled back" });
     return;
   }
+  if (const auto denial = FindDenial()) {
+    EndTransaction();
+    Fail(*denial);
+    return;
+  }
   Send(MakeRequest(aStatement));
 }
 
@@ -366,6 +380,7 @@
 void
 RelaySession::Fail(const Error& aError)
 {
+  mRouter.RecordError(mDatabase, aError);
   if (mPhase == Phase::Begun || mPhase == Phase::Open) {
     EndTransaction();
     mPhase = Phase::Failed;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -64,6 +64,9 @@
   bool IsAdmitted(const CallerStatement& aStatement) const;
   bool ResolveRoute();
   bool Identify();
+  /// Why the open transaction must not go on, if so: keys are taken away and
+  /// moved while transactions are open.
+  std::optional<Error> FindDenial() const;
   RelayRequest MakeRequest(const CallerStatement& aStatement) const;
   void Send(RelayRequest aRequest);
   void OnOutcome(const RelayOutcome& aOutcome, const RelayRequest& aRequest);
--- a/Services/Papayalined/Relay/CallerConnection.cpp
+++ b/Services/Papayalined/Relay/CallerConnection.cpp
@@ -128,6 +128,7 @@
   const auto authority = mListener.mRouter.FindAuthority(*route, aStartup.mKey);
   if (authority.IsError() &&
       authority.GetError().mKind == ErrorKind::AuthenticationFailed) {
+    mListener.mRouter.RecordError(aStartup.mDatabase, authority.GetError());
     CloseWithError(authority.GetError());
     return;
   }
--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -5,9 +5,17 @@
 
 #include <QTimer>
 #include <algorithm>
+#include <ranges>
 
 namespace papayaline {
 
+namespace {
+
+/// Bounds the log entries of one configuration.
+constexpr size_t kMaxLoggedProblems = 20;
+
+}
+
 DirectoryController::DirectoryController(RelayRouter& aRouter,
                                          ObjectStore& aStore,
                                          const PlatformDocumentParser& aReader)
@@ -103,6 +111,23 @@
     isApplied ? "configuration.applied" : "configuration.kept",
     { { "version", std::to_string(parsed.Value().mVersion) },
       { "revision", aObject.mRevision.ToString() } });
+  if (isApplied) {
+    LogProblems(parsed.Value());
+  }
+}
+
+void
+DirectoryController::LogProblems(const RelayConfiguration& aConfiguration)
+{
+  const auto& problems = aConfiguration.mProblems;
+  for (const auto& it : problems | std::views::take(kMaxLoggedProblems)) {
+    StructuredLog::Instance().Write(
+      LogPriority::Decision,
+      "configuration.omitted",
+      { { "version", std::to_string(aConfiguration.mVersion) },
+        { "problem", it },
+        { "problems", std::to_string(problems.size()) } });
+  }
 }
 
 void
--- a/Services/Papayalined/Relay/DirectoryController.h
+++ b/Services/Papayalined/Relay/DirectoryController.h
@@ -30,6 +30,7 @@
 private:
   ObjectWatcher::Environment MakeWatcherEnvironment();
   void ApplyConfiguration(const StoredObject& aObject);
+  static void LogProblems(const RelayConfiguration& aConfiguration);
   void ApplyEntry(const StoredObject& aObject);
   void PublishDirectory();
 
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -282,6 +282,12 @@
     }
     add("term", label, aGroup.View().HighestTerm());
   });
+  for (const auto& [kind, count] : mRouter.ErrorCounts()) {
+    add("errors_total",
+        "{error=\"" +
+          QByteArray::fromStdString(std::string(AnswerFor(kind).mName)) + "\"}",
+        count);
+  }
   add("instances", {}, mFleet.LiveInstances().size());
   add("store_era", {}, mSharedStore.Era());
   add("forwarded_total", {}, mForwardCounts.mForwarded);
--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -191,6 +191,7 @@
       return;
     }
     const auto bytes = EncodePeerMessage(aMessage);
+    mFleet.RecordFrame(bytes);
     mFleet.Schedule(mLink->mTo, [link = mLink, bytes] {
       if (link->mSession) {
         const auto message = DecodePeerMessage(bytes);
@@ -249,9 +250,17 @@
   it->mInfo.mFailureDomain = aDomain;
   it->mInfo.mAddress = it->mInfo.mName;
   const auto now = [this] { return mDatabases->Now(); };
-  const auto log = [](const std::string&, const auto&) {};
+  const auto log = [this](const std::string& aEvent, const auto& aFields) {
+    if (mOnWritten) {
+      mOnWritten(aEvent);
+      for (const auto& [name, value] : aFields) {
+        mOnWritten(name + "=" + value);
+      }
+    }
+  };
   auto environment = mDatabases->MakeEnvironment();
   environment.mFailureDomain = aDomain;
+  environment.mLog = log;
   environment.mOpenChannel = [it, open = environment.mOpenChannel](
                                ChannelTarget aTarget, ChannelEvents aEvents) {
     ++it->mOpenedConnections;
@@ -279,6 +288,7 @@
         Schedule(link->mTo, [=, this] {
           const auto send = [=, this](const PeerMessage& aMessage) {
             const auto bytes = EncodePeerMessage(aMessage);
+            RecordFrame(bytes);
             if (!isReachable()) {
               return;
             }
@@ -464,7 +474,9 @@
 }
 
 std::unique_ptr<FakeUpstreams::Caller>
-SimulatedFleet::Connect(Instance& aInstance, Freshness aFreshness)
+SimulatedFleet::Connect(Instance& aInstance,
+                        Freshness aFreshness,
+                        const std::string& aKey)
 {
   RelayRoute route;
   route.mDatabase = "db";
@@ -476,16 +488,40 @@
   ++configuration.mVersion;
   aInstance.mRouter->ApplyConfigurationIfNewer(configuration);
   auto caller = std::make_unique<FakeUpstreams::Caller>();
-  caller->mSession =
-    std::make_shared<RelaySession>(*aInstance.mRouter,
-                                   "db",
-                                   std::string(),
-                                   [it = caller.get()](const auto& aAnswer) {
-                                     it->mAnswers.push_back(aAnswer);
-                                   });
+  caller->mSession = std::make_shared<RelaySession>(
+    *aInstance.mRouter, "db", aKey, [it = caller.get()](const auto& aAnswer) {
+      it->mAnswers.push_back(aAnswer);
+    });
   return caller;
 }
 
+void
+SimulatedFleet::SetAccounts(Instance& aInstance,
+                            std::vector<ClientAccount> aAccounts)
+{
+  auto configuration = *aInstance.mRouter->Configuration();
+  ++configuration.mVersion;
+  configuration.mAccounts =
+    std::make_shared<const ClientAccounts>(std::move(aAccounts));
+  aInstance.mRouter->ApplyConfigurationIfNewer(configuration);
+}
+
+void
+SimulatedFleet::SetAccounts(const std::vector<ClientAccount>& aAccounts)
+{
+  for (const auto& it : mInstances) {
+    SetAccounts(*it, aAccounts);
+  }
+}
+
+void
+SimulatedFleet::RecordFrame(const QByteArray& aBytes) const
+{
+  if (mOnWritten) {
+    mOnWritten(aBytes.toStdString());
+  }
+}
+
 size_t
 SimulatedFleet::CountRuns(const std::string& aText)
 {
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -140,7 +140,14 @@
 
   std::unique_ptr<FakeUpstreams::Caller> Connect(
     Instance& aInstance,
-    Freshness aFreshness = Freshness::Latest);
+    Freshness aFreshness = Freshness::Latest,
+    const std::string& aKey = {});
+  /// Applies a configuration with these client accounts at one instance.
+  static void SetAccounts(Instance& aInstance,
+                          std::vector<ClientAccount> aAccounts);
+  void SetAccounts(const std::vector<ClientAccount>& aAccounts);
+  /// Receives all that instances log or send to each other; may be null.
+  std::function<void(const std::string&)> mOnWritten;
   /// How many statements whose text ends in aText ran, over all databases.
   size_t CountRuns(const std::string& aText);
 
@@ -158,6 +165,7 @@
   void Step();
   void Schedule(const std::string& aTo, std::function<void()> aRun);
   bool IsRunning(const Instance& aInstance) const;
+  void RecordFrame(const QByteArray& aBytes) const;
   void CloseLink(const std::shared_ptr<Link>& aLink);
 
   std::unique_ptr<FakeUpstreams> mDatabases;
--- a/Tests/Load/Measures.h
+++ b/Tests/Load/Measures.h
@@ -38,5 +38,10 @@
 /// numbers of instances and groups. Returns the exit code of the program.
 int
 MeasureControl(const LoadOptions& aOptions);
+/// Measures what it costs to find the client account of a key and the route of
+/// a database, for several sizes of a configuration. Returns the exit code of
+/// the program.
+int
+MeasureKeys(const LoadOptions& aOptions);
 
 }
--- a/Tests/Load/main.cpp
+++ b/Tests/Load/main.cpp
@@ -18,6 +18,7 @@
   papayaline-load gap      [--failures=N] [--json=FILE]
   papayaline-load overhead [--seconds=N] [--json=FILE]
   papayaline-load control  [--seconds=N] [--json=FILE]
+  papayaline-load keys     [--json=FILE]
 
 Options:
   --profile=NAME   "jingshui" or "coastline" [default: jingshui].
@@ -75,6 +76,8 @@
     result = MeasureGap(options);
   } else if (arguments["overhead"].asBool()) {
     result = MeasureOverhead(options);
+  } else if (arguments["keys"].asBool()) {
+    result = MeasureKeys(options);
   } else {
     result = MeasureControl(options);
   }
--- a/Tests/PlatformAdapter/TestDocumentParser.cpp
+++ b/Tests/PlatformAdapter/TestDocumentParser.cpp
@@ -13,6 +13,9 @@
   CPPUNIT_TEST(ConfigurationIsRead);
   CPPUNIT_TEST(ConfigurationWithUnknownKindOfRouteIsRefused);
   CPPUNIT_TEST(ConfigurationWithHugeNumbersIsBounded);
+  CPPUNIT_TEST(AccountsAreRead);
+  CPPUNIT_TEST(AccountsAbsentOrEmptyDiffer);
+  CPPUNIT_TEST(AccountsUnusableAreLeftOutAndReportedWithoutTheirKeys);
   CPPUNIT_TEST(EntryIsRead);
   CPPUNIT_TEST(EntriesOfOtherWritersAreRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -40,6 +43,15 @@
              { "limits", QJsonObject{ { "txIdleMs", 2500 } } } };
   }
 
+  static QJsonObject Account(const QString& aName,
+                             const QJsonArray& aKeys,
+                             QJsonObject aOthers = {})
+  {
+    aOthers["name"] = aName;
+    aOthers["apiKeys"] = aKeys;
+    return aOthers;
+  }
+
   static StoredObject Entry(const QString& aName, const QJsonValue& aValue)
   {
     QJsonObject content{ { "backend", "huvo11a" },
@@ -95,6 +107,71 @@
     CPPUNIT_ASSERT_EQUAL(0U, parsed.mRank);
   }
 
+  void AccountsAreRead()
+  {
+    auto document = Document(Route());
+    document["tenants"] = QJsonArray{ Account(
+      "meadow",
+      { "k1", "k2" },
+      { { "priority", 2 }, { "ratePerS", 7.5 }, { "burst", 12 } }) };
+    const auto read = DocumentParser().ParseConfiguration(document);
+    CPPUNIT_ASSERT(!read.IsError());
+    const auto* account = read.Value().mAccounts->FindByKey("k2");
+    CPPUNIT_ASSERT(account && account->mName == "meadow");
+    CPPUNIT_ASSERT_EQUAL(2U, account->mRank);
+    CPPUNIT_ASSERT(account->mQuota == AccountQuota({ 7.5, 12 }));
+    CPPUNIT_ASSERT(read.Value().mProblems.empty());
+  }
+
+  void AccountsAbsentOrEmptyDiffer()
+  {
+    auto document = Document(Route());
+    CPPUNIT_ASSERT(
+      !DocumentParser().ParseConfiguration(document).Value().mAccounts);
+    document["tenants"] = QJsonArray();
+    const auto read = DocumentParser().ParseConfiguration(document);
+    CPPUNIT_ASSERT(read.Value().mAccounts);
+    CPPUNIT_ASSERT(read.Value().mAccounts->All().empty());
+    document["tenants"] = "none";
+    CPPUNIT_ASSERT(DocumentParser().ParseConfiguration(document).IsError());
+  }
+
+  void AccountsUnusableAreLeftOutAndReportedWithoutTheirKeys()
+  {
+    auto document = Document(Route());
+    document["tenants"] = QJsonArray{
+      Account("meadow", { "secret-1" }),
+      Account("", { "secret-2" }),
+      Account("two words", { "secret-3" }),
+      Account("harbour", { "secret-4", "secret-1" }),
+      Account("meadow", { "secret-5" }),
+      Account("slow", { "secret-6" }, { { "ratePerS", -1 }, { "burst", 1 } }),
+      Account(
+        "fast", { "secret-7" }, { { "ratePerS", 1e300 }, { "burst", 1 } }),
+      Account("blank", { "" }),
+      "secret-8",
+      Account("last", { "secret-9", "secret-9" }),
+    };
+    const auto read = DocumentParser().ParseConfiguration(document);
+    CPPUNIT_ASSERT(!read.IsError());
+    const auto& accounts = *read.Value().mAccounts;
+    CPPUNIT_ASSERT_EQUAL(size_t(2), accounts.All().size());
+    CPPUNIT_ASSERT(accounts.FindByKey("secret-1")->mName == "meadow");
+    CPPUNIT_ASSERT(accounts.FindByKey("secret-9")->mName == "last");
+    const std::vector<std::string> expected = {
+      "tenants[1]: missing or unusable value: name",
+      "tenants[2]: missing or unusable value: name",
+      "tenants[3]: apiKeys[1]: another account holds the same key",
+      "tenants[4]: another account has the same name",
+      "tenants[5]: missing or unusable value: ratePerS",
+      "tenants[6]: missing or unusable value: ratePerS",
+      "tenants[7]: missing or unusable value: apiKeys",
+      "tenants[8]: missing or unusable value: JSON object",
+      "tenants[9]: apiKeys: a key is listed twice",
+    };
+    CPPUNIT_ASSERT(expected == read.Value().mProblems);
+  }
+
   void EntryIsRead()
   {
     const auto read = DocumentParser().ParseDirectoryEntry(Entry({}, {}));
--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -10,6 +10,7 @@
 #include <QJsonArray>
 #include <QTemporaryDir>
 #include <cppunit/extensions/HelperMacros.h>
+#include <optional>
 
 using namespace papayaline;
 
@@ -30,6 +31,7 @@
   CPPUNIT_TEST(StoreRestoredFencingTokensGrow);
   CPPUNIT_TEST(EntriesUnreadableTheOthersStayInUse);
   CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
+  CPPUNIT_TEST(KeysDecideWhoIsServedAndAreWrittenNowhere);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
   CPPUNIT_TEST(TerminatedUnderLoadAllStatementsAreAnswered);
   CPPUNIT_TEST_SUITE_END();
@@ -63,11 +65,13 @@
   class Session
   {
   public:
-    Session(quint16 aPort, const QByteArray& aDatabase)
+    Session(quint16 aPort,
+            const QByteArray& aDatabase,
+            const QByteArray& aKey = "till-1")
     {
       mSocket.connectToHost(QHostAddress::LocalHost, aPort);
       Await([&] { return mSocket.state() == QTcpSocket::ConnectedState; });
-      mSocket.write("STARTUP " + aDatabase + " till-1\r\n");
+      mSocket.write("STARTUP " + aDatabase + " " + aKey + "\r\n");
       mWelcome = ReadAnswer();
     }
 
@@ -96,7 +100,9 @@
     int mRequests = 0;
   };
 
-  void Configure(const QStringList& aDatabases, int aTimeoutMs = 1000)
+  void Configure(const QStringList& aDatabases,
+                 int aTimeoutMs = 1000,
+                 const std::optional<QJsonArray>& aAccounts = std::nullopt)
   {
     QJsonArray routes;
     for (const auto& it : aDatabases) {
@@ -107,14 +113,16 @@
                                  { "priority", 1 },
                                  { "backend", "group-1" } });
     }
-    mStore->Put("config",
-                "main",
-                { { "configVersion", ++mConfigurationVersion },
-                  { "routes", routes },
-                  { "backends",
-                    QJsonArray{ QJsonObject{ { "name", "group-1" },
-                                             { "maxConns", 20 } } } },
-                  { "limits", QJsonObject{ { "txIdleMs", 3000 } } } });
+    QJsonObject document{ { "configVersion", ++mConfigurationVersion },
+                          { "routes", routes },
+                          { "backends",
+                            QJsonArray{ QJsonObject{ { "name", "group-1" },
+                                                     { "maxConns", 20 } } } },
+                          { "limits", QJsonObject{ { "txIdleMs", 3000 } } } };
+    if (aAccounts) {
+      document["tenants"] = *aAccounts;
+    }
+    mStore->Put("config", "main", document);
   }
 
   void ListDatabases()
@@ -149,7 +157,24 @@
     mInstance.reset();
     mInstance = std::make_unique<ChildProcess>(
       "Services/Papayalined/papayalined",
-      QStringList{ "--settings=" + WriteSettings() });
+      QStringList{ "--settings=" + WriteSettings() },
+      LogFile(),
+      LogFile());
+  }
+
+  QString LogFile() const { return mTempDirectory.filePath("log"); }
+
+  QByteArray ReadMetrics() const
+  {
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress::LocalHost, mMetricsPort);
+    socket.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    QByteArray text;
+    Await([&] {
+      text += socket.readAll();
+      return text.contains("class=\"refusal\",le=\"+Inf\"}");
+    });
+    return text;
   }
 
   int ReadinessStatus() const
@@ -367,6 +392,52 @@
     CPPUNIT_ASSERT(text.contains("class=\"latest_read\",le=\"+Inf\"} 1\n"));
   }
 
+  /// Greps all that the process writes: to databases, to its log and into its
+  /// metrics.
+  void KeysDecideWhoIsServedAndAreWrittenNowhere()
+  {
+    const auto accounts = [](const QJsonArray& aKeys) {
+      return QJsonArray{
+        QJsonObject{ { "name", "meadow" }, { "apiKeys", aKeys } },
+        QJsonObject{ { "name", "copy" }, { "apiKeys", aKeys } }
+      };
+    };
+    Configure({ "bookings" }, 1000, accounts({ "secret-1", "secret-2" }));
+    CPPUNIT_ASSERT(Await([&] {
+      return Session(mCallerPort, "bookings", "secret-3")
+        .mWelcome.startsWith("ERROR DENIED ");
+    }));
+    Session session(mCallerPort, "bookings", "secret-1");
+    CPPUNIT_ASSERT(session.Query("WRITE 1 x").contains("COMPLETE signed"));
+    CPPUNIT_ASSERT(session.Query("BEGIN").contains("READY T"));
+    CPPUNIT_ASSERT(session.Query("WRITE 1 y").contains("COMPLETE signed"));
+    Configure({ "bookings" }, 1000, accounts({ "secret-2" }));
+    CPPUNIT_ASSERT(Await([&] {
+      return Session(mCallerPort, "bookings", "secret-1")
+        .mWelcome.startsWith("ERROR DENIED ");
+    }));
+    CPPUNIT_ASSERT(session.Query("COMMIT").startsWith("ERROR DENIED "));
+    Session other(mCallerPort, "bookings", "secret-2");
+    CPPUNIT_ASSERT(other.Query("READ 1").contains("ROW x"));
+    auto written = ReadMetrics();
+    CPPUNIT_ASSERT(
+      written.contains("errors_total{error=\"authentication-failed\"}"));
+    for (const auto& it : mDatabases->All()) {
+      written += it->mReceived.empty()
+                   ? QByteArray()
+                   : QByteArrayList(it->mReceived.begin(), it->mReceived.end())
+                       .join('\n');
+    }
+    mInstance->Terminate();
+    CPPUNIT_ASSERT_EQUAL(0, mInstance->WaitForExit(kTimeoutMs));
+    QFile log(LogFile());
+    CPPUNIT_ASSERT(log.open(QIODevice::ReadOnly));
+    written += log.readAll();
+    CPPUNIT_ASSERT(written.contains("session.denied"));
+    CPPUNIT_ASSERT(written.contains("configuration.omitted"));
+    CPPUNIT_ASSERT(!written.contains("secret"));
+  }
+
   void TerminatedFinishesTheTransactionAndExits()
   {
     Session session(mCallerPort, "bookings");
--- a/Tests/StandIns/Line/LineDatabases.cpp
+++ b/Tests/StandIns/Line/LineDatabases.cpp
@@ -163,6 +163,7 @@
       while ((end = connection->mBuffer.indexOf("\r\n")) >= 0) {
         const auto line = connection->mBuffer.left(end);
         connection->mBuffer.remove(0, end + 2);
+        aDatabase.mReceived.push_back(line);
         const auto answer = HandleLine(aDatabase, *connection, line);
         if (!aDatabase.mIsSilent) {
           socket->write(answer);
--- a/Tests/StandIns/Line/LineDatabases.h
+++ b/Tests/StandIns/Line/LineDatabases.h
@@ -36,6 +36,8 @@
     quint16 mPort = 0;
     std::vector<QTcpSocket*> mSockets;
     size_t mWrites = 0;
+    /// All lines that arrived, in order.
+    std::vector<QByteArray> mReceived;
   };
 
   LineDatabases();
