LibRelay: Run statements on connections of their account

Cause: every connection was opened for no account, and a statement ran on any free connection, so a database saw statements of client accounts under one name that is none of theirs.

Change: a connection pool finds, opens and counts links by account. At the limit of its plan it closes the free link of another account that was used least recently. A control command uses a free link of any account and opens one only for the account that last lacked a link. Links of several accounts may open at a time, together in half of the database's slots; one of an account at a time, so that without accounts nothing changes. A transaction goes on only under the account of its connection.

--- a/Libraries/LibDecision/ConnectionBudget.cpp
+++ b/Libraries/LibDecision/ConnectionBudget.cpp
@@ -53,6 +53,8 @@
   const auto largest = std::max(aLoad.mLimit / 3, 1U);
   ConnectionPlan plan;
   plan.mAllowance = std::clamp(aLoad.mOwn + spare / divisor, 1U, largest);
+  // Half of the slots are left to statements.
+  plan.mMaxOpenings = std::max(aLoad.mSlots / 2, 1U);
   if (spare > 0) {
     return plan;
   }
--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -29,6 +29,9 @@
   unsigned mMinimum = 1;
   /// How long a connection above the minimum may be idle before it is closed.
   std::chrono::milliseconds mIdleTimeout{ 1000 };
+  /// How many connections may be opening at a time. Statements of one account
+  /// wait for one opening at a time.
+  unsigned mMaxOpenings = 1;
 
   bool operator==(const ConnectionPlan&) const = default;
 };
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -76,14 +76,55 @@
   return std::ranges::any_of(mEntries, IsFree);
 }
 
+bool
+LinkPool::HasFree(const std::string& aAccount) const
+{
+  return std::ranges::any_of(mEntries, [&](const auto& it) {
+    return IsFree(it) && it.mLink->Account() == aAccount;
+  });
+}
+
+bool
+LinkPool::IsOpening(const std::string& aAccount) const
+{
+  return IsOpeningSince(Instant::min(), aAccount);
+}
+
 void
-LinkPool::OpenIfNoneFree()
+LinkPool::OpenIfNoneFree(const std::string& aAccount)
 {
-  if (!HasFree() && OpeningCount() == 0 && MayOpen(mPlan.mAllowance)) {
-    Open();
+  if (HasFree(aAccount)) {
+    return;
+  }
+  mNextAccount = aAccount;
+  if (IsOpening(aAccount) || OpeningCount() >= mPlan.mMaxOpenings ||
+      mClock() < mRetryAt) {
+    return;
+  }
+  if (MayOpen(mPlan.mAllowance) || CloseForOther(aAccount)) {
+    Open(aAccount);
   }
 }
 
+bool
+LinkPool::CloseForOther(const std::string& aAccount)
+{
+  LinkPointer oldest;
+  for (const auto& it : mEntries) {
+    const bool mayClose = IsFree(it) && it.mLink->Account() != aAccount;
+    if (mayClose &&
+        (!oldest || it.mLink->LastUsedAt() < oldest->LastUsedAt())) {
+      oldest = it.mLink;
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  oldest->Close();
+  Remove(oldest);
+  return true;
+}
+
 bool
 LinkPool::IsOpeningSince(Instant aSince) const
 {
@@ -93,17 +134,41 @@
   });
 }
 
+bool
+LinkPool::IsOpeningSince(Instant aSince, const std::string& aAccount) const
+{
+  return std::ranges::any_of(mEntries, [&](const auto& it) {
+    return it.mLink->GetState() == UpstreamLink::State::Opening &&
+           it.mLink->Account() == aAccount &&
+           it.mLink->WaitingSince() >= aSince;
+  });
+}
+
 LinkPointer
-LinkPool::Acquire(const SessionState& aSession)
+LinkPool::Acquire(const SessionState& aSession, const std::string& aAccount)
 {
-  OpenIfNoneFree();
-  if (!HasFree()) {
-    return nullptr;
+  OpenIfNoneFree(aAccount);
+  return AcquireWhere(aSession,
+                      [&](const auto& it) { return it.Account() == aAccount; });
+}
+
+LinkPointer
+LinkPool::AcquireForControl()
+{
+  if (!HasFree() && OpeningCount() == 0 && MayOpen(mPlan.mAllowance)) {
+    Open(mNextAccount);
   }
+  return AcquireWhere({}, [](const auto&) { return true; });
+}
+
+LinkPointer
+LinkPool::AcquireWhere(const SessionState& aSession,
+                       const std::function<bool(const UpstreamLink&)>& aFilter)
+{
   Entry* best = nullptr;
   size_t bestCount = 0;
   for (auto& it : mEntries) {
-    if (!IsFree(it)) {
+    if (!IsFree(it) || !aFilter(*it.mLink)) {
       continue;
     }
     const auto count = it.mLink->Session().PreparationCount(aSession);
@@ -112,6 +177,9 @@
       bestCount = count;
     }
   }
+  if (!best) {
+    return nullptr;
+  }
   best->mIsInUse = true;
   return best->mLink;
 }
@@ -120,15 +188,15 @@
 LinkPool::OpenAdditional()
 {
   if (OpeningCount() == 0 && MayOpen(mPlan.mAllowance + 1)) {
-    Open();
+    Open(mNextAccount);
   }
 }
 
 void
-LinkPool::Open()
+LinkPool::Open(const std::string& aAccount)
 {
   const auto link = std::make_shared<UpstreamLink>(
-    ChannelTarget{ mGroup, mUpstream, {} }, mObserver, mClock);
+    ChannelTarget{ mGroup, mUpstream, aAccount }, mObserver, mClock);
   mEntries.push_back({ link, false });
   const std::weak_ptr weak = link;
   link->Open(mOpener, [this, weak](const std::optional<Error>& aError) {
@@ -240,7 +308,7 @@
   }
   if (mEntries.size() < mPlan.mMinimum && OpeningCount() == 0 &&
       MayOpen(mPlan.mAllowance)) {
-    Open();
+    Open(mNextAccount);
   }
 }
 
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -37,21 +37,30 @@
 
   void SetPlan(const ConnectionPlan& aPlan) { mPlan = aPlan; }
 
-  /// Whether a link is free now.
+  /// Whether a link of any account is free now.
   bool HasFree() const;
-  /// Opens a link when none is free or opening and the plan allows another one.
-  /// aOnChange is called when it is ready.
-  void OpenIfNoneFree();
+  /// Whether a link of a client account, which may be empty, is free now.
+  bool HasFree(const std::string& aAccount) const;
+  /// Opens a link of an account when none of its own is free or opening. At the
+  /// limit of the plan, the free link of another account that was used least
+  /// recently is closed for it. aOnChange is called when the link is ready.
+  void OpenIfNoneFree(const std::string& aAccount);
   /// Whether a link is opening that was started at or after aSince.
   bool IsOpeningSince(Instant aSince) const;
+  bool IsOpeningSince(Instant aSince, const std::string& aAccount) const;
   /// Whether the plan allows no more links.
   bool IsAtLimit() const { return mEntries.size() >= mPlan.mAllowance; }
   /// Whether the plan keeps at least one link open while none is needed.
   bool KeepsIdleLink() const { return mPlan.mMinimum > 0; }
-  /// Takes the free link that needs the fewest preparation commands for
-  /// aSession. Returns null, and opens a link as OpenIfNoneFree does, when none
-  /// is free.
-  LinkPointer Acquire(const SessionState& aSession);
+  /// Takes the free link of an account that needs the fewest preparation
+  /// commands for aSession. Returns null, and opens a link as OpenIfNoneFree
+  /// does, when none is free.
+  LinkPointer Acquire(const SessionState& aSession,
+                      const std::string& aAccount);
+  /// Takes a free link of any account, for a control command. Returns null, and
+  /// opens a link for the account that last lacked one, when none is free and
+  /// none is opening.
+  LinkPointer AcquireForControl();
   /// Opens a link even when others are free, one more than the plan allows: a
   /// link without answers can't tell whether the database is reachable.
   void OpenAdditional();
@@ -82,13 +91,19 @@
     bool mIsInUse = false;
   };
 
-  void Open();
+  void Open(const std::string& aAccount);
+  /// Makes room for another link by closing a free one of another account.
+  bool CloseForOther(const std::string& aAccount);
+  LinkPointer AcquireWhere(
+    const SessionState& aSession,
+    const std::function<bool(const UpstreamLink&)>& aFilter);
   void OnState(const LinkPointer& aLink, const std::optional<Error>& aError);
   Entry* Find(const LinkPointer& aLink);
   bool MayOpen(unsigned aLimit) const;
   Duration RetryDelay(const Error& aError) const;
   static bool IsFree(const Entry& aEntry);
   unsigned OpeningCount() const;
+  bool IsOpening(const std::string& aAccount) const;
   void Remove(const LinkPointer& aLink);
 
   std::string mGroup;
@@ -102,6 +117,8 @@
   std::vector<Entry> mEntries;
   std::optional<Error> mFailure;
   unsigned mFailures = 0;
+  /// The account of the last statement that found no free link of its own.
+  std::string mNextAccount;
   Instant mRetryAt;
 };
 
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -130,6 +130,13 @@
            { ErrorKind::UpstreamLost, "connection of the transaction ended" });
     return;
   }
+  if (aTransaction->mLink->Account() != pending->mRequest.mAuthority.mAccount) {
+    RollBack(aTransaction);
+    Refuse(pending,
+           { ErrorKind::AuthenticationFailed,
+             "the transaction belongs to another account" });
+    return;
+  }
   RelayChoice choice;
   choice.mPrimary = aTransaction->mPrimary;
   Start(pending, choice, aTransaction->mLink);
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -251,6 +251,7 @@
   bool TryStart(const PendingRequestPointer& aPending);
   bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
   void RequestConnection(const std::string& aBest,
+                         const std::string& aAccount,
                          const RelayRequirements& aRequirements);
   void RefreshConnectionPlan(const std::string& aName);
   bool IsSuspected(const GroupPrimary& aPrimary) const;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -116,10 +116,9 @@
 void
 RelayGroup::RunWaitingCommands()
 {
-  const SessionState none;
   for (auto& [name, it] : mMembers) {
     while (!it.mQueuedCommands.empty()) {
-      const auto link = it.mPool->Acquire(none);
+      const auto link = it.mPool->AcquireForControl();
       if (!link) {
         break;
       }
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -30,7 +30,8 @@
     RelayCandidate candidate;
     candidate.mName = it.mName;
     candidate.mIsAvailable =
-      member.mPool->HasFree() && member.mBusyUntil <= now &&
+      member.mPool->HasFree(aPending.mRequest.mAuthority.mAccount) &&
+      member.mBusyUntil <= now &&
       member.mPool->RunningCount() < member.mConcurrency.Limit();
     candidate.mDistance = mEnvironment.mTopology.Between(
       mEnvironment.mFailureDomain, it.mFailureDomain);
@@ -72,7 +73,9 @@
   }
   if (choice.mVerdict == RelayVerdict::WaitForConnection) {
     aPending->mWaitsAt = candidates[choice.mIndex].mName;
-    RequestConnection(candidates[choice.mIndex].mName, requirements);
+    RequestConnection(candidates[choice.mIndex].mName,
+                      aPending->mRequest.mAuthority.mAccount,
+                      requirements);
   }
   if (choice.mVerdict != RelayVerdict::Run) {
     return false;
@@ -84,7 +87,8 @@
     return false;
   }
   auto& pool = *mMembers.at(candidates[choice.mIndex].mName).mPool;
-  auto link = pool.Acquire(*aPending->mRequest.mSession);
+  auto link = pool.Acquire(*aPending->mRequest.mSession,
+                           aPending->mRequest.mAuthority.mAccount);
   if (!link) {
     return false;
   }
@@ -97,6 +101,7 @@
 /// only when that one takes longer than mTypicalOpenTime.
 void
 RelayGroup::RequestConnection(const std::string& aBest,
+                              const std::string& aAccount,
                               const RelayRequirements& aRequirements)
 {
   const auto& member = mMembers.at(aBest);
@@ -104,16 +109,17 @@
   if (best.RunningCount() >= member.mConcurrency.Limit()) {
     return;
   }
-  best.OpenIfNoneFree();
+  best.OpenIfNoneFree(aAccount);
   RefreshConnectionPlan(aBest);
   const bool isPrimaryOnly =
     aRequirements.mNeedsPrimary || !aRequirements.mMaxAge;
   if (isPrimaryOnly ||
-      best.IsOpeningSince(mEnvironment.mNow() - mSettings.mTypicalOpenTime)) {
+      best.IsOpeningSince(mEnvironment.mNow() - mSettings.mTypicalOpenTime,
+                          aAccount)) {
     return;
   }
   for (const auto& [name, it] : mMembers) {
-    it.mPool->OpenIfNoneFree();
+    it.mPool->OpenIfNoneFree(aAccount);
   }
 }
 
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -39,6 +39,7 @@
     mFake.mOpenedChannels.emplace_back(mName, mEvents);
     auto& database = it->second;
     ++database.mOpenings;
+    database.mOpenedFor.push_back(mAccount);
     if (!database.mIsReachable) {
       return;
     }
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -38,6 +38,8 @@
     unsigned mConnections = 0;
     /// Number of connections that were opened, including failed ones.
     size_t mOpenings = 0;
+    /// The client account of each of them.
+    std::vector<std::string> mOpenedFor;
     /// Further connections are refused.
     unsigned mMaxConnections = 100;
     /// Statements of callers that ran, in order.
