LibDecision: Choose homes and databases by distance in steps

Cause: every other failure domain counts as equally far. With two regions an entry without a home in its own domain sends two thirds of its reads to another region although a home is in its own, and a home reads from a replica in another region as soon as that saves 20 ms. The weight of an instance is its processor share, also where its link bears less.

Change: ChooseHome counts crossings between regions before those between domains, and what needs the primary goes to the home nearest to the primary. A database in another region costs 80 ms of expected time. WeightOf takes the scarcer of processor share and link_mbps; older instances announce the old weight, and every instance plans from what is announced.

--- a/Libraries/LibDecision/HomePlan.cpp
+++ b/Libraries/LibDecision/HomePlan.cpp
@@ -3,6 +3,7 @@
 #include "LibDecision/ConnectionBudget.h"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <tuple>
 
@@ -25,20 +26,65 @@
   return ranked;
 }
 
-/// How often a statement and its answer cross failure domains; lower is
-/// better.
-unsigned
-CountCrossings(const HomeRequirements& aRequirements,
-               const HomeCandidate& aCandidate)
+/// How often a statement and its answer cross regions and failure domains; less
+/// is better.
+struct Crossings
 {
+  unsigned mRegions = 0;
+  unsigned mDomains = 0;
+
+  auto operator<=>(const Crossings&) const = default;
+  Crossings operator+(const Crossings& aOther) const
+  {
+    return { mRegions + aOther.mRegions, mDomains + aOther.mDomains };
+  }
+};
+
+Crossings
+CrossingsOf(Distance aDistance)
+{
+  return { aDistance == Distance::OtherRegion ? 1U : 0U,
+           aDistance == Distance::SameRegion ? 1U : 0U };
+}
+
+/// The way from a home in the primary's domain to the nearest replica. Homes
+/// are beside the databases, so another home's domain has one.
+Crossings
+WayToReplica(const HomeRequirements& aRequirements,
+             std::span<const HomeCandidate> aCandidates)
+{
+  Crossings nearest{ 1, 0 };
+  for (const auto& it : aCandidates) {
+    if (it.mIsHome && it.mFailureDomain != aRequirements.mPrimaryDomain) {
+      nearest = std::min(nearest,
+                         CrossingsOf(aRequirements.mTopology.Between(
+                           aRequirements.mPrimaryDomain, it.mFailureDomain)));
+    }
+  }
+  return nearest;
+}
+
+/// The ways that a candidate is chosen by, the more important one first.
+using Ways = std::array<Crossings, 2>;
+
+Ways
+WaysOf(const HomeRequirements& aRequirements,
+       const HomeCandidate& aCandidate,
+       const Crossings& aWayToReplica)
+{
+  const auto& topology = aRequirements.mTopology;
+  const auto wayToHome = CrossingsOf(
+    topology.Between(aRequirements.mFailureDomain, aCandidate.mFailureDomain));
+  if (aRequirements.mNeedsPrimary) {
+    return { CrossingsOf(topology.Between(aCandidate.mFailureDomain,
+                                          aRequirements.mPrimaryDomain)),
+             wayToHome };
+  }
   const bool isOwn = aCandidate.mFailureDomain == aRequirements.mFailureDomain;
   const bool isPrimary =
     aCandidate.mFailureDomain == aRequirements.mPrimaryDomain;
-  if (aRequirements.mNeedsPrimary) {
-    return isPrimary ? 0 : isOwn ? 1 : 2;
-  }
   // A home in the primary's domain forwards reads to replicas in other domains.
-  return isOwn ? 0 : isPrimary ? 2 : 1;
+  return { !isOwn && isPrimary ? wayToHome + aWayToReplica : wayToHome, {} };
 }
 
 }
@@ -97,7 +143,8 @@
 ChooseHome(const HomeRequirements& aRequirements,
            std::span<const HomeCandidate> aCandidates)
 {
-  using Rank = std::tuple<bool, unsigned, bool, size_t>;
+  using Rank = std::tuple<bool, Ways, bool, size_t>;
+  const auto wayToReplica = WayToReplica(aRequirements, aCandidates);
   std::optional<size_t> best;
   Rank bestRank;
   for (size_t it = 0; it < aCandidates.size(); ++it) {
@@ -109,7 +156,7 @@
       aRequirements.mGroup + '\n' + aRequirements.mInstance + '\n' +
       candidate.mName);
     const Rank rank{ !candidate.mIsHome,
-                     CountCrossings(aRequirements, candidate),
+                     WaysOf(aRequirements, candidate, wayToReplica),
                      !candidate.mIsSelf,
                      tieBreaker };
     if (!best || rank < bestRank) {
--- a/Libraries/LibDecision/HomePlan.h
+++ b/Libraries/LibDecision/HomePlan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/Placement.h"
+#include "LibDecision/Topology.h"
 
 #include <optional>
 #include <span>
@@ -69,12 +70,15 @@
   /// runs them needs evidence that the primary has not been replaced; when they
   /// all run at one home, it collects the evidence once for all.
   bool mNeedsPrimary = false;
+  Topology mTopology{};
 };
 
 /// Chooses the instance that runs a statement. Homes are preferred, then
-/// candidates with fewer crossings between failure domains, then the choosing
-/// instance itself; a hash distributes the rest. Returns the index of the
-/// candidate, or nothing when none is usable. Pure; any thread.
+/// candidates with fewer crossings between regions, then between failure
+/// domains, then the choosing instance itself; a hash distributes the rest.
+/// What needs the primary is chosen by the way from the home to the primary
+/// first. Returns the index of the candidate, or nothing when none is usable.
+/// Pure; any thread.
 std::optional<size_t>
 ChooseHome(const HomeRequirements& aRequirements,
            std::span<const HomeCandidate> aCandidates);
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+constexpr double kWeightPerCore = 100;
+/// The bandwidth in megabits per second that one core fills: 2,000 forwarded
+/// statements a second with answers of 6 KB.
+constexpr double kLinkMbpsPerCore = 100;
+
 double
 Score(const std::string& aKey, const InstanceInfo& aInstance)
 {
@@ -24,6 +29,14 @@
 
 }
 
+unsigned
+WeightOf(double aCores, std::optional<double> aLinkMbps)
+{
+  const auto cores =
+    aLinkMbps ? std::min(aCores, *aLinkMbps / kLinkMbpsPerCore) : aCores;
+  return static_cast<unsigned>(std::max(cores * kWeightPerCore, 1.0));
+}
+
 std::vector<InstanceInfo>
 RendezvousOrder(const std::string& aKey, std::vector<InstanceInfo> aInstances)
 {
--- a/Libraries/LibDecision/Placement.h
+++ b/Libraries/LibDecision/Placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,12 +14,20 @@
   /// Address of the HTTP port, as "host:port".
   std::string mAddress;
   bool mIsLeaving = false;
-  /// The share of the load that it takes, in hundredths of a processor core.
+  /// The share of the load that it takes, in hundredths of a processor core;
+  /// see WeightOf.
   unsigned mWeight = 100;
 
   auto operator<=>(const InstanceInfo&) const = default;
 };
 
+/// The weight of an instance with this share of processor cores and this
+/// bandwidth in megabits per second: what the scarcer of the two bears. At
+/// least
+/// 1. Pure; any thread.
+unsigned
+WeightOf(double aCores, std::optional<double> aLinkMbps);
+
 /// Orders instances for a key by weighted rendezvous hashing. Every instance
 /// computes the same order from the same list. The probability of being first
 /// is proportional to the weight, and adding or removing an instance does not
--- a/Libraries/LibDecision/RelayRouting.cpp
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -6,6 +6,20 @@
 
 namespace {
 
+Duration
+DistancePenalty(Distance aDistance, const RelayRoutingSettings& aSettings)
+{
+  switch (aDistance) {
+    case Distance::SameDomain:
+      return {};
+    case Distance::SameRegion:
+      return aSettings.mCrossDomainPenalty;
+    case Distance::OtherRegion:
+      return aSettings.mCrossRegionPenalty;
+  }
+  return aSettings.mCrossRegionPenalty;
+}
+
 /// The expected time until a database completes one more statement.
 Duration
 ExpectedTime(const RelayCandidate& aCandidate,
@@ -13,13 +27,10 @@
 {
   const auto slots = std::max(aCandidate.mSlots, 1U);
   const auto waiting = aCandidate.mInFlight / slots;
-  const auto domainPenalty = aCandidate.mDistance == Distance::SameDomain
-                               ? Duration{}
-                               : aSettings.mCrossDomainPenalty;
   return aCandidate.mServiceTime * (1 + waiting) +
          aCandidate.mServiceTime * (aCandidate.mInFlight % slots) /
            (2 * slots) +
-         domainPenalty;
+         DistancePenalty(aCandidate.mDistance, aSettings);
 }
 
 struct BestCandidate
--- a/Libraries/LibDecision/RelayRouting.h
+++ b/Libraries/LibDecision/RelayRouting.h
@@ -65,6 +65,10 @@
   /// Added to the expected time of a database in another failure domain,
   /// because traffic between failure domains is expensive.
   Duration mCrossDomainPenalty = std::chrono::milliseconds(20);
+  /// The same for a database in another region, whose link all traffic between
+  /// the regions shares. Above mPrimaryReadPenalty, so that a read runs at the
+  /// primary of its own region before it leaves the region.
+  Duration mCrossRegionPenalty = std::chrono::milliseconds(80);
   /// Added to the expected time of the primary for a read that a replica may
   /// serve, because writes need the primary's slots.
   Duration mPrimaryReadPenalty = std::chrono::milliseconds(60);
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -133,7 +133,8 @@
                                    self.mName,
                                    self.mFailureDomain,
                                    HomeDirectory::PrimaryDomain(*mGroup),
-                                   NeedsPrimary(aPending.mRequest) },
+                                   NeedsPrimary(aPending.mRequest),
+                                   mHomes.GetTopology() },
                                  candidates);
   return choice ? std::optional(candidates[*choice].mName) : std::nullopt;
 }
--- a/Libraries/LibPeer/HomeDirectory.cpp
+++ b/Libraries/LibPeer/HomeDirectory.cpp
@@ -5,9 +5,12 @@
 
 namespace papayaline {
 
-HomeDirectory::HomeDirectory(InstanceInfo aSelf, RelayRouter& aRouter)
+HomeDirectory::HomeDirectory(InstanceInfo aSelf,
+                             RelayRouter& aRouter,
+                             Topology aTopology)
   : mSelf(std::move(aSelf))
   , mRouter(aRouter)
+  , mTopology(std::move(aTopology))
 {
 }
 
--- a/Libraries/LibPeer/HomeDirectory.h
+++ b/Libraries/LibPeer/HomeDirectory.h
@@ -11,7 +11,9 @@
 class HomeDirectory
 {
 public:
-  HomeDirectory(InstanceInfo aSelf, RelayRouter& aRouter);
+  HomeDirectory(InstanceInfo aSelf,
+                RelayRouter& aRouter,
+                Topology aTopology = {});
 
   /// Sets the live instances, including this one. Every instance counts as home
   /// while none are known.
@@ -20,6 +22,7 @@
   void Refresh();
 
   const InstanceInfo& Self() const { return mSelf; }
+  const Topology& GetTopology() const { return mTopology; }
   /// Precondition: a configuration names the group.
   const HomePlan& PlanOf(const RelayGroup& aGroup);
   /// The failure domain of the primary that the directory lists; empty when it
@@ -46,6 +49,7 @@
 
   InstanceInfo mSelf;
   RelayRouter& mRouter;
+  Topology mTopology;
   std::vector<InstanceInfo> mInstances;
   /// Incremented when the fleet changes.
   uint64_t mFleetVersion = 1;
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -23,8 +23,6 @@
 
 /// Bounds how late a change of a group's databases changes its home instances.
 constexpr auto kPlacementInterval = 200ms;
-/// The weight of an instance whose processor share is one core.
-constexpr double kWeightPerCore = 100;
 
 /// Between two summaries of each group in the log.
 constexpr auto kSummaryInterval = 10s;
@@ -91,7 +89,7 @@
                      Now)
   , mRouter(MakeEnvironment())
   , mPeers(mSettings.mInstance, PeerSocket::Connect, Now, Log)
-  , mHomes(DescribeSelf(), mRouter)
+  , mHomes(DescribeSelf(), mRouter, Topology(mSettings.mRegions))
   , mSharedStore(aPlatform.mStore, mPeers, DescribeSelf(), Now, Log)
   , mFleet(mSharedStore,
            DescribeSelf(),
@@ -132,8 +130,7 @@
   if (mSettings.mPeerAddress.mPort != 0) {
     self.mAddress = mSettings.mPeerAddress.ToString();
   }
-  self.mWeight = static_cast<unsigned>(
-    std::max(mSettings.mProcessorShare * kWeightPerCore, 1.0));
+  self.mWeight = WeightOf(mSettings.mProcessorShare, mSettings.mLinkMbps);
   return self;
 }
 
--- a/Tests/LibDecision/TestHomePlan.cpp
+++ b/Tests/LibDecision/TestHomePlan.cpp
@@ -25,6 +25,12 @@
   CPPUNIT_TEST(ReadHomeOfOwnDomainIsChosen);
   CPPUNIT_TEST(ReadWithoutOwnHomeAvoidsThePrimarysDomain);
   CPPUNIT_TEST(HomesUnusableNextInOrderIsChosen);
+  CPPUNIT_TEST(OneRegionChoiceIsByCrossingsBetweenDomains);
+  CPPUNIT_TEST(ReadWithoutOwnHomeStaysInItsRegion);
+  CPPUNIT_TEST(ReadWithoutHomeInItsRegionLeavesIt);
+  CPPUNIT_TEST(ReadWhoseRegionHasOnlyThePrimaryGoesToTheReplicas);
+  CPPUNIT_TEST(PrimaryNeededAndItsHomeUnusableNextIsInThePrimarysRegion);
+  CPPUNIT_TEST(LinkOfALargeInstanceLimitsItsWeight);
   CPPUNIT_TEST(SmallFleetWatchesTheStoreDirectly);
   CPPUNIT_TEST(LargeFleetHasTwoWatchersInEachDomain);
   CPPUNIT_TEST(FollowersAreSpreadOverTheWatchers);
@@ -80,6 +86,47 @@
     return candidate;
   }
 
+  /// Domains a, b and c are in the east, d, e and f in the west.
+  static Topology TwoRegions()
+  {
+    return Topology({ { "a", "east" },
+                      { "b", "east" },
+                      { "c", "east" },
+                      { "d", "west" },
+                      { "e", "west" },
+                      { "f", "west" } });
+  }
+
+  /// The domains of the homes that instances of a domain choose.
+  static std::set<std::string> ChosenDomains(
+    const std::string& aDomain,
+    const std::string& aPrimaryDomain,
+    bool aNeedsPrimary,
+    const std::vector<HomeCandidate>& aCandidates,
+    const Topology& aTopology)
+  {
+    std::set<std::string> domains;
+    for (int n = 0; n < 50; ++n) {
+      const auto choice = ChooseHome({ "g",
+                                       "i" + std::to_string(n),
+                                       aDomain,
+                                       aPrimaryDomain,
+                                       aNeedsPrimary,
+                                       aTopology },
+                                     aCandidates);
+      domains.insert(aCandidates[*choice].mFailureDomain);
+    }
+    return domains;
+  }
+
+  /// Homes beside databases in domains a, b and d.
+  static std::vector<HomeCandidate> UnevenHomes()
+  {
+    return { Candidate("x", "a", true),
+             Candidate("y", "b", true),
+             Candidate("z", "d", true) };
+  }
+
 public:
   void FleetWithAConnectionEachAllAreHome()
   {
@@ -221,6 +268,89 @@
     CPPUNIT_ASSERT(!ChooseHome({ "g", "i", "a", "a", true }, candidates));
   }
 
+  /// The choice is the one of the count of crossings that it replaces.
+  void OneRegionChoiceIsByCrossingsBetweenDomains()
+  {
+    const auto crossings = [](const std::string& aDomain,
+                              const std::string& aPrimaryDomain,
+                              bool aNeedsPrimary,
+                              const HomeCandidate& aCandidate) {
+      const bool isOwn = aCandidate.mFailureDomain == aDomain;
+      const bool isPrimary = aCandidate.mFailureDomain == aPrimaryDomain;
+      return aNeedsPrimary ? (isPrimary ? 0
+                              : isOwn   ? 1
+                                        : 2)
+                           : (isOwn       ? 0
+                              : isPrimary ? 2
+                                          : 1);
+    };
+    const auto candidates = UnevenHomes();
+    for (const std::string domain : { "a", "b", "c", "d", "e" }) {
+      for (const std::string primary : { "a", "b", "c", "d", "" }) {
+        for (const bool needsPrimary : { false, true }) {
+          const auto best =
+            std::ranges::min(candidates, {}, [&](const auto& it) {
+              return crossings(domain, primary, needsPrimary, it);
+            });
+          std::set<std::string> expected;
+          for (const auto& it : candidates) {
+            if (crossings(domain, primary, needsPrimary, it) ==
+                crossings(domain, primary, needsPrimary, best)) {
+              expected.insert(it.mFailureDomain);
+            }
+          }
+          for (const auto& topology :
+               { Topology(), Topology({ { "a", "r" }, { "b", "r" } }) }) {
+            CPPUNIT_ASSERT(
+              expected ==
+              ChosenDomains(
+                domain, primary, needsPrimary, candidates, topology));
+          }
+        }
+      }
+    }
+  }
+
+  void ReadWithoutOwnHomeStaysInItsRegion()
+  {
+    const auto chosen =
+      ChosenDomains("f", "a", false, UnevenHomes(), TwoRegions());
+    CPPUNIT_ASSERT((chosen == std::set<std::string>{ "d" }));
+  }
+
+  void ReadWithoutHomeInItsRegionLeavesIt()
+  {
+    auto candidates = UnevenHomes();
+    candidates[2].mIsUsable = false;
+    const auto chosen =
+      ChosenDomains("f", "a", false, candidates, TwoRegions());
+    CPPUNIT_ASSERT((chosen == std::set<std::string>{ "b" }));
+  }
+
+  void ReadWhoseRegionHasOnlyThePrimaryGoesToTheReplicas()
+  {
+    const auto chosen =
+      ChosenDomains("f", "d", false, UnevenHomes(), TwoRegions());
+    CPPUNIT_ASSERT((chosen == std::set<std::string>{ "a", "b" }));
+  }
+
+  void PrimaryNeededAndItsHomeUnusableNextIsInThePrimarysRegion()
+  {
+    auto candidates = UnevenHomes();
+    candidates[0].mIsUsable = false;
+    const auto chosen = ChosenDomains("f", "a", true, candidates, TwoRegions());
+    CPPUNIT_ASSERT((chosen == std::set<std::string>{ "b" }));
+  }
+
+  void LinkOfALargeInstanceLimitsItsWeight()
+  {
+    CPPUNIT_ASSERT_EQUAL(50U, WeightOf(0.5, std::nullopt));
+    CPPUNIT_ASSERT_EQUAL(50U, WeightOf(0.5, 200));
+    CPPUNIT_ASSERT_EQUAL(10U, WeightOf(0.5, 10));
+    CPPUNIT_ASSERT_EQUAL(12U, WeightOf(0.12, 200));
+    CPPUNIT_ASSERT_EQUAL(1U, WeightOf(0.5, 0.1));
+  }
+
   void SmallFleetWatchesTheStoreDirectly()
   {
     auto fleet = Fleet();
