--- a/Libraries/LibDecision/GroupLoad.h
+++ b/Libraries/LibDecision/GroupLoad.h
@@ -2,6 +2,8 @@
 
 #include "LibDecision/Instant.h"
 
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 namespace papayaline {
@@ -14,6 +16,15 @@
   /// Empty when nothing waits.
   std::vector<Duration> mWaitByRank;
 
+  /// The wait of one rank; unset when nothing waits.
+  std::optional<Duration> WaitOf(unsigned aRank) const
+  {
+    return mWaitByRank.empty()
+             ? std::nullopt
+             : std::optional(mWaitByRank[std::min<size_t>(
+                 aRank, mWaitByRank.size() - 1)]);
+  }
+
   bool operator==(const GroupLoad&) const = default;
 };
 
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -9,12 +9,12 @@
 /// Maximum number of instances that one statement is forwarded to.
 constexpr size_t kMaxForwards = 3;
 
-bool
-NeedsPrimary(const RelayRequest& aRequest)
+/// Spreads statements evenly over 0 up to 1.
+double
+DrawFor(const std::string& aId)
 {
-  return aRequest.mAccess == Access::Write ||
-         aRequest.mMode == TransactionMode::ReadWrite ||
-         aRequest.mRoute.mFreshness == Freshness::Latest;
+  constexpr size_t kSteps = 1 << 16;
+  return static_cast<double>(std::hash<std::string>()(aId) % kSteps) / kSteps;
 }
 
 /// Whether the route's timeout has passed. Nobody waits for the answer then.
@@ -79,7 +79,12 @@
 void
 ForwardingRunner::Route(const PendingRequestPointer& aPending)
 {
-  const auto peer = ChooseInstance(*aPending);
+  const auto choice = ChooseInstance(*aPending);
+  if (choice.IsError()) {
+    RefuseForWait(aPending, choice.GetError());
+    return;
+  }
+  const auto& peer = choice.Value();
   if (peer && *peer != mHomes.Self().mName) {
     Forward(aPending, *peer, 0);
   } else {
@@ -106,14 +111,14 @@
 /// Returns the instance that is to run the statement; it may be this one. Empty
 /// when all instances are home to the group and this one has not refused the
 /// statement, when kMaxForwards instances were tried, or when none is usable.
-std::optional<std::string>
-ForwardingRunner::ChooseInstance(const PendingRequest& aPending) const
+Result<std::optional<std::string>>
+ForwardingRunner::ChooseInstance(const PendingRequest& aPending)
 {
   const auto& plan = mHomes.PlanOf(*mGroup);
   const auto& self = mHomes.Self();
   const bool isExhausted = aPending.mTriedPeers.size() >= kMaxForwards;
   if (isExhausted || (plan.mAreAllHome && !aPending.mWasRefusedLocally)) {
-    return std::nullopt;
+    return std::optional<std::string>();
   }
   std::vector<HomeCandidate> candidates;
   for (size_t n = 0; n < plan.mRanked.size(); ++n) {
@@ -133,9 +138,81 @@
                                    self.mName,
                                    self.mFailureDomain,
                                    HomeDirectory::PrimaryDomain(*mGroup),
-                                   NeedsPrimary(aPending.mRequest) },
+                                   aPending.mRequest.Kind() ==
+                                     QueueKind::AtPrimary },
                                  candidates);
-  return choice ? std::optional(candidates[*choice].mName) : std::nullopt;
+  if (!choice) {
+    return std::optional<std::string>();
+  }
+  const auto home = PL_TRY(ChooseForWait(aPending, candidates, *choice));
+  return std::optional(candidates[home].mName);
+}
+
+Result<size_t>
+ForwardingRunner::ChooseForWait(const PendingRequest& aPending,
+                                std::span<const HomeCandidate> aCandidates,
+                                size_t aPreferred)
+{
+  const auto& request = aPending.mRequest;
+  const bool isFirstChoice =
+    aPending.mTriedPeers.empty() && !aPending.mWasRefusedLocally;
+  if (!isFirstChoice) {
+    // An earlier attempt of a read may have run, so it isn't refused as not
+    // run.
+    return aPreferred;
+  }
+  std::vector<size_t> homes;
+  std::vector<HomeWait> waits;
+  for (size_t n = 0; n < aCandidates.size(); ++n) {
+    const auto& it = aCandidates[n];
+    if (it.mIsUsable && (it.mIsHome || n == aPreferred)) {
+      homes.push_back(n);
+      waits.push_back({ WaitAt(it.mName, request) });
+    }
+  }
+  const auto preferred = std::ranges::find(homes, aPreferred) - homes.begin();
+  const auto timeLeft =
+    request.mReceivedAt + request.mRoute.mTimeout - mClock();
+  const auto choice =
+    ChooseByWait(waits, preferred, timeLeft, DrawFor(request.mStatement.mId));
+  if (!choice) {
+    return Error{ ErrorKind::QueueFull,
+                  "no home is expected to serve the statement in time" };
+  }
+  mCounts.mMovedForWait += homes[*choice] != aPreferred ? 1 : 0;
+  return homes[*choice];
+}
+
+std::optional<Duration>
+ForwardingRunner::WaitAt(const std::string& aHome,
+                         const RelayRequest& aRequest) const
+{
+  const auto rank = aRequest.mRoute.mRank;
+  if (aHome != mHomes.Self().mName) {
+    return mNews.WaitAt(aHome, aRequest.Kind(), rank, mClock());
+  }
+  const auto load = mGroup->LoadOf(aRequest.Kind());
+  return load ? load->WaitOf(rank) : std::nullopt;
+}
+
+void
+ForwardingRunner::RefuseForWait(const PendingRequestPointer& aPending,
+                                const Error& aError)
+{
+  const auto& request = aPending->mRequest;
+  const auto waited =
+    std::chrono::duration_cast<Milliseconds>(mClock() - request.mReceivedAt);
+  ++mCounts.mRefusedForWait;
+  mLog("request.refused",
+       { { "request", request.mStatement.mId },
+         { "group", mGroup->Name() },
+         { "database", request.mRoute.mDatabase },
+         { "error", std::string(AnswerFor(aError.mKind).mName) },
+         { "reason", aError.mMessage },
+         { "waitedMs", std::to_string(waited.count()) } });
+  RelayOutcome outcome;
+  outcome.mAnswer.mError = aError;
+  Finish(aPending, outcome);
 }
 
 void
@@ -146,9 +223,10 @@
     if (error && !aPending->mWasRefusedLocally &&
         MayReroute(*aPending, *error)) {
       aPending->mWasRefusedLocally = true;
-      if (const auto peer = ChooseInstance(*aPending)) {
+      const auto peer = ChooseInstance(*aPending);
+      if (!peer.IsError() && peer.Value()) {
         ++mCounts.mDetours;
-        Forward(aPending, *peer, 0);
+        Forward(aPending, *peer.Value(), 0);
         return;
       }
     }
@@ -192,6 +270,9 @@
                             const std::string& aPeer,
                             const ForwardOutcome& aOutcome)
 {
+  if (aOutcome.mLoad) {
+    mNews.Record(aPeer, aPending->mRequest.Kind(), *aOutcome.mLoad, mClock());
+  }
   switch (aOutcome.mKind) {
     case ForwardOutcome::Kind::Answered: {
       const auto& error = aOutcome.mAnswer.mError;
--- a/Libraries/LibPeer/ForwardingRunner.h
+++ b/Libraries/LibPeer/ForwardingRunner.h
@@ -14,6 +14,11 @@
   uint64_t mRerouted = 0;
   /// Forwarded because this instance is partitioned from the group.
   uint64_t mDetours = 0;
+  /// Forwarded to another home than the preferred one, which would not have
+  /// served them in time.
+  uint64_t mMovedForWait = 0;
+  /// Refused here, since no home would have served them in time.
+  uint64_t mRefusedForWait = 0;
 };
 
 /// Runs the statements of this instance's callers on one group: locally when
@@ -60,8 +65,17 @@
 
   void Route(const PendingRequestPointer& aPending);
   void Reroute(const PendingRequestPointer& aPending, const std::string& aPeer);
-  std::optional<std::string> ChooseInstance(
-    const PendingRequest& aPending) const;
+  Result<std::optional<std::string>> ChooseInstance(
+    const PendingRequest& aPending);
+  /// Changes the choice of a home by the expected waits. Errors: QueueFull when
+  /// no home can serve the statement in time.
+  Result<size_t> ChooseForWait(const PendingRequest& aPending,
+                               std::span<const HomeCandidate> aCandidates,
+                               size_t aPreferred);
+  std::optional<Duration> WaitAt(const std::string& aHome,
+                                 const RelayRequest& aRequest) const;
+  void RefuseForWait(const PendingRequestPointer& aPending,
+                     const Error& aError);
   void RunLocally(const PendingRequestPointer& aPending);
   void Forward(const PendingRequestPointer& aPending,
                const std::string& aPeer,
@@ -87,6 +101,7 @@
   PeerPool::LogSink mLog;
   ForwardCounts& mCounts;
   std::list<PendingRequestPointer> mPendingRequests;
+  LoadNews mNews;
 };
 
 }
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -264,6 +264,7 @@
   if (!aAnswer.mIsDeclined) {
     outcome.mKind = ForwardOutcome::Kind::Answered;
     outcome.mAnswer = aAnswer.mAnswer;
+    outcome.mLoad = aAnswer.mLoad;
   }
   if (aAnswer.mTransaction != 0) {
     aPeer.mTransactions.insert(aAnswer.mTransaction);
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -55,6 +55,8 @@
   /// Valid with Kind::Answered only.
   StatementAnswer mAnswer;
   std::optional<ForwardedTransaction> mTransaction;
+  /// The load of the group at the peer, if it told.
+  std::optional<GroupLoad> mLoad;
 };
 
 /// The connections to other instances, with the calls in flight on each.
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -125,7 +125,9 @@
     return Done{};
   }
   ++mServer.mServedCount;
-  mCalls[aStatement.mCall] = { state, group, aStatement.mTransaction };
+  mCalls[aStatement.mCall] = {
+    state, group, aStatement.mTransaction, request.Kind()
+  };
   // The session may be destroyed before the outcome arrives.
   auto handler = [weak = weak_from_this(), group, call = aStatement.mCall](
                    const RelayOutcome& aOutcome) {
@@ -163,6 +165,7 @@
   ForwardAnswer answer;
   answer.mCall = aCall;
   answer.mAnswer = aOutcome.mAnswer;
+  answer.mLoad = aGroup.LoadOf(call.mKind);
   if (aOutcome.mTransaction) {
     answer.mTransaction =
       call.mTransaction != 0 ? call.mTransaction : ++mLastTransaction;
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -41,6 +41,7 @@
       std::shared_ptr<SessionState> mState;
       std::shared_ptr<RelayGroup> mGroup;
       uint64_t mTransaction = 0;
+      QueueKind mKind = QueueKind::AtPrimary;
     };
     struct Transaction
     {
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -98,9 +98,10 @@
   pending->mRequest = std::move(aRequest);
   pending->mHandler = std::move(aHandler);
   if (mPendingRequests.size() >= mSettings.mQueueLimit) {
-    mPendingRequests.push_back(pending);
-    Refuse(pending, { ErrorKind::QueueFull, "queue of the group is full" });
-    return;
+    RefuseAtFullQueue(pending);
+    if (pending->mIsFinished) {
+      return;
+    }
   }
   const auto& request = pending->mRequest;
   mActiveUntil = request.mReceivedAt + mSettings.mStandbyDelay;
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -2,12 +2,16 @@
 
 #include "LibDecision/Backoff.h"
 #include "LibDecision/ConcurrencyLimit.h"
+#include "LibDecision/FairOrder.h"
+#include "LibDecision/LoadNews.h"
+#include "LibDecision/RankLimit.h"
 #include "LibDecision/RetryBudget.h"
 #include "LibDecision/TakeoverMachine.h"
 #include "LibDecision/Topology.h"
 #include "LibRelay/LinkPool.h"
 #include "LibRelay/Protocols.h"
 #include "LibRelay/QuotaGate.h"
+#include "LibRelay/SharePolicy.h"
 #include "LibRelay/StatementRunner.h"
 
 #include <list>
@@ -136,6 +140,11 @@
   uint64_t mReadsAtPrimary = 0;
   uint64_t mWrites = 0;
   uint64_t mRefused = 0;
+  /// Of these, by cause: the expected wait is too long, no connection was free
+  /// in time, the queue is full.
+  uint64_t mRefusedForWait = 0;
+  uint64_t mRefusedWithoutConnection = 0;
+  uint64_t mRefusedAtFullQueue = 0;
   uint64_t mOutcomesUnknown = 0;
   uint64_t mHedgedReads = 0;
   /// Status requests, by purpose.
@@ -161,6 +170,8 @@
   ~RelayGroup() override;
 
   void Configure(const RelayGroupConfiguration& aConfiguration);
+  /// How callers share the slots from now on.
+  void SetSharePolicy(const SharePolicy& aPolicy) { mSharePolicy = aPolicy; }
   /// Replaces the member list. The connections to members that have left or
   /// restarted are closed, and the statements that ran or waited on them end at
   /// once or are retried.
@@ -186,6 +197,12 @@
   unsigned MaxConnections() const { return mConfiguration.mMaxConnections; }
   const RelayCounts& Counts() const { return mCounts; }
   bool IsIdle() const { return mPendingRequests.empty(); }
+  /// How long a statement of a kind is expected to wait here at least, by rank:
+  /// until those of the ranks above that wait have been sent. Unset where
+  /// callers don't share slots by account.
+  std::optional<GroupLoad> LoadOf(QueueKind aKind) const;
+  /// The longest time for which a waiting statement is expected to wait on.
+  Duration LongestExpectedWait() const;
   /// Whether this instance does not monitor the databases, since other
   /// instances are home to the group.
   bool IsOnStandby() const { return mIsStandingBy; }
@@ -211,6 +228,7 @@
   {
     std::unique_ptr<LinkPool> mPool;
     ConcurrencyLimit mConcurrency;
+    RankLimit mRankLimit;
     /// The member refused a statement for lack of a slot and is sent none
     /// before this instant.
     Instant mBusyUntil;
@@ -240,7 +258,18 @@
   // The queue.
   void Dispatch();
   void DispatchOnce();
-  std::vector<PendingRequestPointer> DispatchOrder() const;
+  std::vector<PendingRequestPointer> DispatchOrder();
+  std::vector<PendingRequestPointer> OrderByRank() const;
+  std::vector<PendingRequestPointer> OrderFairly();
+  FairStatement FairnessOf(const PendingRequest& aPending,
+                           const std::string& aUpstream) const;
+  void ObserveStart(const Attempt& aAttempt);
+  void RefuseAtFullQueue(const PendingRequestPointer& aNewcomer);
+  unsigned ParallelAt(const Member& aMember, unsigned aRank) const;
+  unsigned RunningOfRank(const std::string& aName, unsigned aRank) const;
+  bool MayStartAt(const std::string& aName,
+                  const Member& aMember,
+                  unsigned aRank) const;
   bool IsPastTarget(const PendingRequest& aPending, Instant aNow) const;
   Duration AnswerTimeOf(const std::string& aName) const;
   Instant DeadlineOf(const PendingRequest& aPending) const;
@@ -361,6 +390,8 @@
   RelayCounts mCounts;
   RetryBudget mRetries;
   GroupPlacement mPlacement;
+  SharePolicy mSharePolicy;
+  FairOrder mFairOrder;
   /// Until when this instance monitors the group although it is not home.
   Instant mActiveUntil;
   bool mIsStandingBy = false;
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -31,7 +31,8 @@
     candidate.mName = it.mName;
     candidate.mIsAvailable =
       member.mPool->HasFree() && member.mBusyUntil <= now &&
-      member.mPool->RunningCount() < member.mConcurrency.Limit();
+      member.mPool->RunningCount() < member.mConcurrency.Limit() &&
+      MayStartAt(it.mName, member, aPending.mRequest.mRoute.mRank);
     candidate.mDistance = mEnvironment.mTopology.Between(
       mEnvironment.mFailureDomain, it.mFailureDomain);
     candidate.mIsExcluded = aPending.mExcludedUpstreams.contains(it.mName) ||
@@ -175,6 +176,7 @@
     aPending->mSentAt = attempt->mStartedAt;
   }
   mAttempts.push_back(attempt);
+  ObserveStart(*attempt);
   Prepare(attempt);
 }
 
@@ -334,6 +336,8 @@
     // The link of this statement no longer counts as running.
     it->second.mConcurrency.OnAnswered(now - aAttempt->mStatementSentAt,
                                        it->second.mPool->RunningCount() + 1);
+    it->second.mRankLimit.OnAnswered(
+      it->second.mConcurrency, mSharePolicy.Tolerances(), now);
   }
   if (!aAnswer.mError) {
     OnSuccess(aAttempt, aAnswer);
--- a/Libraries/LibRelay/RelayGroupQueue.cpp
+++ b/Libraries/LibRelay/RelayGroupQueue.cpp
@@ -40,8 +40,8 @@
     if (!isQueued || member == mMembers.end()) {
       continue;
     }
-    const auto parallel = std::min(member->second.mPool->ReadyCount(),
-                                   member->second.mConcurrency.Limit());
+    const auto parallel =
+      ParallelAt(member->second, it->mRequest.mRoute.mRank);
     if (parallel > 0) {
       it->mExpectedStart = now + member->second.mConcurrency.AnswerTime() *
                                    waiting[it->mWaitsAt]++ / parallel;
@@ -49,11 +49,17 @@
   }
 }
 
+std::vector<RelayGroup::PendingRequestPointer>
+RelayGroup::DispatchOrder()
+{
+  return mSharePolicy.IsEnabled() ? OrderFairly() : OrderByRank();
+}
+
 /// Within a rank, requests that can still be answered within their target
 /// latency go first: while slots are short, the others would make them late
 /// too.
 std::vector<RelayGroup::PendingRequestPointer>
-RelayGroup::DispatchOrder() const
+RelayGroup::OrderByRank() const
 {
   using Key = std::pair<unsigned, bool>;
   const auto now = mEnvironment.mNow();
@@ -163,7 +169,12 @@
     if (!it->IsWaiting() || aNow < DeadlineOf(*it)) {
       continue;
     }
-    Refuse(it, ExpiryError(*it));
+    const auto error = ExpiryError(*it);
+    if (error.mKind == ErrorKind::QueueFull) {
+      ++(it->mExpectedStart ? mCounts.mRefusedForWait
+                            : mCounts.mRefusedWithoutConnection);
+    }
+    Refuse(it, error);
   }
 }
 
--- a/Libraries/LibRelay/RelayRequest.h
+++ b/Libraries/LibRelay/RelayRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibConfiguration/RelayConfiguration.h"
+#include "LibDecision/LoadNews.h"
 #include "LibDecision/RelayRouting.h"
 #include "LibRelay/UpstreamLink.h"
 
@@ -86,6 +87,12 @@
   {
     return mAccess == Access::Write || mMode == TransactionMode::ReadWrite;
   }
+  QueueKind Kind() const
+  {
+    return MayWrite() || mRoute.mFreshness == Freshness::Latest
+             ? QueueKind::AtPrimary
+             : QueueKind::AtAnyDatabase;
+  }
 };
 
 /// The result of a statement.
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -40,6 +40,10 @@
   NamedCount{ "reads_at_primary", &RelayCounts::mReadsAtPrimary },
   NamedCount{ "writes", &RelayCounts::mWrites },
   NamedCount{ "refused", &RelayCounts::mRefused },
+  NamedCount{ "refused_for_wait", &RelayCounts::mRefusedForWait },
+  NamedCount{ "refused_without_connection",
+              &RelayCounts::mRefusedWithoutConnection },
+  NamedCount{ "refused_at_full_queue", &RelayCounts::mRefusedAtFullQueue },
   NamedCount{ "outcome_unknown", &RelayCounts::mOutcomesUnknown },
   NamedCount{ "hedged_reads", &RelayCounts::mHedgedReads },
   NamedCount{ "probes", &RelayCounts::mProbes },
@@ -281,12 +285,18 @@
           aGroup.Counts().*it.mCount);
     }
     add("term", label, aGroup.View().HighestTerm());
+    add("expected_wait_ms",
+        label,
+        std::chrono::duration_cast<Milliseconds>(aGroup.LongestExpectedWait())
+          .count());
   });
   add("instances", {}, mFleet.LiveInstances().size());
   add("store_era", {}, mSharedStore.Era());
   add("forwarded_total", {}, mForwardCounts.mForwarded);
   add("rerouted_total", {}, mForwardCounts.mRerouted);
   add("detours_total", {}, mForwardCounts.mDetours);
+  add("moved_for_wait_total", {}, mForwardCounts.mMovedForWait);
+  add("entry_refused_for_wait_total", {}, mForwardCounts.mRefusedForWait);
   add("served_for_peers_total", {}, mPeerServer.ServedCount());
   return text + Metrics::Instance().LatenciesToText();
 }
--- a/Tests/LoadPatterns/LoadPatterns.cpp
+++ b/Tests/LoadPatterns/LoadPatterns.cpp
@@ -111,13 +111,130 @@
   return pattern;
 }
 
+AccountLoad
+AccountOf(const std::string& aName, double aShare, double aFaultRate = 1)
+{
+  AccountLoad load;
+  load.mAccount.mName = aName;
+  load.mAccount.mKeys = { "key-" + aName };
+  load.mShare = aShare;
+  load.mFaultRate = aFaultRate;
+  return load;
+}
+
+/// Three homes share the slots of a group. Statements that need the primary
+/// meet at the first one, and the other two see none of the first rank. While
+/// the replicas apply late, all reads go to the primary, whose slots are used
+/// to two thirds.
+LoadPattern
+ThreeHomes(const std::string& aName)
+{
+  RouteLoad first;
+  first.mRoute = { .mDatabase = "first",
+                   .mGroup = "g",
+                   .mFreshness = Freshness::Latest,
+                   .mTimeout = 1500ms,
+                   .mTargetLatency = 200ms,
+                   .mRank = 0 };
+  first.mRate = 18;
+  first.mWrites = 0.3;
+  first.mServiceTime = 6ms;
+  first.mDeadline = 1500ms;
+  first.mHome = 0;
+  RouteLoad second;
+  second.mRoute = { .mDatabase = "second",
+                    .mGroup = "g",
+                    .mFreshness = Freshness::ReadYourWrites,
+                    .mMaxAge = 2500ms,
+                    .mTimeout = 1500ms,
+                    .mTargetLatency = 400ms,
+                    .mRank = 1 };
+  second.mRate = 85;
+  second.mServiceTime = 18ms;
+  second.mDeadline = 1500ms;
+  RouteLoad third;
+  third.mRoute = { .mDatabase = "third",
+                   .mGroup = "g",
+                   .mFreshness = Freshness::BoundedStaleness,
+                   .mMaxAge = 1500ms,
+                   .mTimeout = 5000ms,
+                   .mTargetLatency = 1000ms,
+                   .mRank = 2 };
+  third.mRate = 32;
+  third.mServiceTime = 30ms;
+  third.mDeadline = 5000ms;
+  LoadPattern pattern;
+  pattern.mName = aName;
+  pattern.mInstances = 3;
+  pattern.mSlots = 4;
+  pattern.mConnections = 56;
+  pattern.mLoads = { first, second, third };
+  pattern.mAccounts = { AccountOf("large", 0.5),
+                        AccountOf("usual", 0.35),
+                        AccountOf("small", 0.15) };
+  pattern.mFaultLag = 30s;
+  pattern.mFaultFrom = 2s;
+  pattern.mFaultUntil = 8500ms;
+  pattern.mLength = 14s;
+  return pattern;
+}
+
+/// A crowd on the route of the last rank needs more than all slots.
+LoadPattern
+CrowdOnLowRank()
+{
+  auto pattern = ThreeHomes("crowd-on-low-rank");
+  pattern.mLoads[2].mFaultRate = 5;
+  return pattern;
+}
+
+/// One account sends seven and a half times its usual, on all routes; with the
+/// others it needs more than all slots, and the others need half of them.
+LoadPattern
+OneAccountFarAboveItsUsual()
+{
+  auto pattern = ThreeHomes("one-account-far-above-its-usual");
+  pattern.mAccounts[2].mFaultRate = 7.5;
+  return pattern;
+}
+
+/// The same, and three times as many statements of the first rank.
+LoadPattern
+UrgentCrowdOnTop()
+{
+  auto pattern = OneAccountFarAboveItsUsual();
+  pattern.mName = "urgent-crowd-on-top";
+  pattern.mLoads[0].mFaultRate = 3;
+  return pattern;
+}
+
+/// All instances start at the same time, and callers come back at once, under
+/// one account far above its usual.
+LoadPattern
+AllRestarted()
+{
+  auto pattern = OneAccountFarAboveItsUsual();
+  pattern.mName = "all-restarted";
+  pattern.mAreAllRestarted = true;
+  pattern.mFaultLag = 20ms;
+  pattern.mFaultUntil = 6s;
+  return pattern;
+}
+
 }
 
 std::span<const LoadPattern>
 LoadPatterns()
 {
   static const std::array kPatterns = {
-    Quiet(), FlashCrowd(), ReplicasApplyLate(), FailoverToDeafReplica()
+    Quiet(),
+    FlashCrowd(),
+    ReplicasApplyLate(),
+    FailoverToDeafReplica(),
+    CrowdOnLowRank(),
+    OneAccountFarAboveItsUsual(),
+    UrgentCrowdOnTop(),
+    AllRestarted()
   };
   return kPatterns;
 }
--- a/Tests/LoadPatterns/LoadWorld.cpp
+++ b/Tests/LoadPatterns/LoadWorld.cpp
@@ -4,6 +4,7 @@
 #include "platform/LineUpstreamProtocol.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace papayaline {
 
@@ -22,6 +23,9 @@
 /// Of the logarithm of the service times.
 constexpr double kServiceSpread = 0.7;
 constexpr unsigned kMaxAttempts = 3;
+/// How long a restart takes, and when callers try again meanwhile.
+constexpr auto kRestartTime = 1s;
+constexpr auto kReconnectDelay = 100ms;
 
 }
 
@@ -123,6 +127,8 @@
   mDatabases[0].mRole = Role::Primary;
   mResult.mRoutes.resize(mPattern.mLoads.size());
   mResult.mFaultRoutes.resize(mPattern.mLoads.size());
+  mResult.mFaultAccounts.resize(mPattern.mAccounts.size());
+  mInstances.resize(mPattern.mInstances);
   for (size_t it = 0; it < mPattern.mInstances; ++it) {
     AddInstance(it);
     ScheduleTicks(it);
@@ -146,6 +152,13 @@
   for (const auto& it : mPattern.mLoads) {
     configuration.mRoutes.push_back(it.mRoute);
   }
+  if (!mPattern.mAccounts.empty()) {
+    std::vector<ClientAccount> accounts;
+    std::ranges::transform(mPattern.mAccounts,
+                           std::back_inserter(accounts),
+                           &AccountLoad::mAccount);
+    configuration.mAccounts = std::make_shared<ClientAccounts>(accounts);
+  }
   configuration.mGroups = { { "g", mPattern.mConnections, 0 } };
   std::vector<DirectoryEntry> entries;
   for (const auto& it : mDatabases) {
@@ -157,12 +170,11 @@
     entry.mMember.mListedRole = it.mRole;
     entries.push_back(entry);
   }
-  mInstances.push_back(
-    std::make_unique<RelayRouter>(MakeEnvironment(aInstance)));
-  mInstances.back()->ApplyConfigurationIfNewer(configuration);
-  mInstances.back()->SetDirectory(entries);
-  mInstances.back()->FindGroup("g")->SetPlacement(
-    { true, mPattern.mInstances });
+  auto& router = mInstances[aInstance];
+  router = std::make_unique<RelayRouter>(MakeEnvironment(aInstance));
+  router->ApplyConfigurationIfNewer(configuration);
+  router->SetDirectory(entries);
+  router->FindGroup("g")->SetPlacement({ true, mPattern.mInstances });
 }
 
 RelayEnvironment
@@ -207,7 +219,9 @@
 {
   Schedule(kTick + std::chrono::microseconds(aInstance * 700),
            [this, aInstance] {
-             mInstances[aInstance]->Tick();
+             if (mInstances[aInstance]) {
+               mInstances[aInstance]->Tick();
+             }
              ScheduleTicks(aInstance);
            });
 }
@@ -223,7 +237,14 @@
 LoadWorld::ScheduleArrivals(size_t aRoute)
 {
   const auto& load = mPattern.mLoads[aRoute];
-  const auto rate = load.mRate * (IsFault(mNow) ? mPattern.mFaultRate : 1);
+  const auto factor =
+    IsFault(mNow) ? mPattern.mFaultRate * load.mFaultRate : 1;
+  const auto& accounts = mPattern.mAccounts;
+  const auto share = std::accumulate(
+    accounts.begin(), accounts.end(), 0.0, [this](double aSum, const auto& it) {
+      return aSum + it.mShare * FactorOf(it);
+    });
+  const auto rate = load.mRate * factor * (accounts.empty() ? 1 : share);
   const std::chrono::duration<double> gap(
     std::exponential_distribution<>(rate)(mRandom));
   Schedule(std::chrono::duration_cast<Duration>(gap), [this, aRoute] {
@@ -232,9 +253,51 @@
   });
 }
 
+double
+LoadWorld::FactorOf(const AccountLoad& aAccount) const
+{
+  return IsFault(mNow) ? aAccount.mFaultRate : 1;
+}
+
+size_t
+LoadWorld::DrawAccount()
+{
+  std::vector<double> shares;
+  std::ranges::transform(
+    mPattern.mAccounts, std::back_inserter(shares), [this](const auto& it) {
+      return it.mShare * FactorOf(it);
+    });
+  return std::discrete_distribution<size_t>(shares.begin(),
+                                            shares.end())(mRandom);
+}
+
+/// What instances have queued is lost with their connections, and callers try
+/// again.
+void
+LoadWorld::RestartAll()
+{
+  for (const auto& [id, it] : mOperations) {
+    if (std::exchange(it->mSession, nullptr) && !it->mIsDone) {
+      Schedule(kReconnectDelay, [this, operation = it] {
+        if (!operation->mIsDone) {
+          Attempt(operation);
+        }
+      });
+    }
+  }
+  mOperations.clear();
+  for (size_t it = 0; it < mInstances.size(); ++it) {
+    mInstances[it].reset();
+    Schedule(kRestartTime, [this, it] { AddInstance(it); });
+  }
+}
+
 void
 LoadWorld::ScheduleFaults()
 {
+  if (mPattern.mAreAllRestarted) {
+    Schedule(mPattern.mFaultFrom, [this] { RestartAll(); });
+  }
   if (mPattern.mIsReplicaDeaf) {
     auto& deaf = mDatabases.back();
     Schedule(mPattern.mFaultFrom, [&deaf] { deaf.mIsReceiving = false; });
@@ -253,6 +316,7 @@
   auto operation = std::make_shared<Operation>();
   operation->mRoute = aRoute;
   operation->mStartedAt = mNow;
+  operation->mAccount = mPattern.mAccounts.empty() ? 0 : DrawAccount();
   const bool isWrite =
     std::uniform_real_distribution<>(0, 1)(mRandom) < load.mWrites;
   operation->mText = isWrite ? "WRITE 1 x" : "READ 1";
@@ -271,13 +335,24 @@
 void
 LoadWorld::Attempt(const OperationPointer& aOperation)
 {
+  const auto& home = mPattern.mLoads[aOperation->mRoute].mHome;
   const auto instance =
-    std::uniform_int_distribution<size_t>(0, mInstances.size() - 1)(mRandom);
+    home ? *home
+         : std::uniform_int_distribution<size_t>(
+             0, mInstances.size() - 1)(mRandom);
   // A retry goes to another instance.
   aOperation->mInstance =
     aOperation->mAttempts > 0 && instance == aOperation->mInstance
       ? (instance + 1) % mInstances.size()
       : instance;
+  if (!mInstances[aOperation->mInstance]) {
+    Schedule(kReconnectDelay, [this, aOperation] {
+      if (!aOperation->mIsDone) {
+        Attempt(aOperation);
+      }
+    });
+    return;
+  }
   ++aOperation->mAttempts;
   aOperation->mSentAt = mNow;
   const auto id = "q" + std::to_string(++mLastId);
@@ -286,7 +361,9 @@
   aOperation->mSession = std::make_shared<RelaySession>(
     *mInstances[aOperation->mInstance],
     mPattern.mLoads[aOperation->mRoute].mRoute.mDatabase,
-    std::string(),
+    mPattern.mAccounts.empty()
+      ? std::string()
+      : mPattern.mAccounts[aOperation->mAccount].mAccount.mKeys.front(),
     [this, weak](const StatementAnswer& aAnswer) {
       // The session must not be destroyed while it responds.
       Schedule(kOneWayDelay, [this, weak, aAnswer] {
@@ -334,6 +411,9 @@
   std::vector<RouteResult*> results{ &mResult.mRoutes[aOperation->mRoute] };
   if (IsFault(aOperation->mStartedAt)) {
     results.push_back(&mResult.mFaultRoutes[aOperation->mRoute]);
+    if (!mPattern.mAccounts.empty()) {
+      results.push_back(&mResult.mFaultAccounts[aOperation->mAccount]);
+    }
   }
   for (auto* it : results) {
     ++it->mOffered;
--- a/Tests/LoadPatterns/LoadWorld.h
+++ b/Tests/LoadPatterns/LoadWorld.h
@@ -23,6 +23,20 @@
   Milliseconds mServiceTime{ 10 };
   /// When a caller gives up, from its first attempt.
   Milliseconds mDeadline{ 800 };
+  /// The arrival rate is multiplied by this during the fault.
+  double mFaultRate = 1;
+  /// The instance that operations are sent to first; any if unset.
+  std::optional<size_t> mHome;
+};
+
+/// A client account and its part of the load.
+struct AccountLoad
+{
+  ClientAccount mAccount;
+  /// The share of the operations of each route.
+  double mShare = 1;
+  /// The arrival rate is multiplied by this during the fault.
+  double mFaultRate = 1;
 };
 
 /// A deployment and its load. Times count from the start of the run.
@@ -35,6 +49,8 @@
   /// Statements that wait at a database for a slot; further ones are refused.
   unsigned mQueue = 16;
   std::vector<RouteLoad> mLoads;
+  /// Empty where callers have no accounts; otherwise the shares add up to 1.
+  std::vector<AccountLoad> mAccounts;
   /// How late replicas apply what they receive, in the given span.
   Milliseconds mLag{ 20 };
   Milliseconds mFaultLag{ 20 };
@@ -46,6 +62,8 @@
   bool mIsReplicaDeaf = false;
   /// The primary is lost this long after the start of the fault, if at all.
   std::optional<Milliseconds> mPrimaryLostAfter;
+  /// All instances are restarted at the start of the fault.
+  bool mAreAllRestarted = false;
   Milliseconds mLength{ 10000 };
 };
 
@@ -78,6 +96,8 @@
   std::vector<RouteResult> mRoutes;
   /// The same for operations that arrived during the fault.
   std::vector<RouteResult> mFaultRoutes;
+  /// The same by account, over all routes.
+  std::vector<RouteResult> mFaultAccounts;
   /// Status requests a second that the databases received.
   double mStatusRate = 0;
   /// The share of its slots that the busiest database used during the fault.
@@ -124,6 +144,7 @@
   struct Operation
   {
     size_t mRoute = 0;
+    size_t mAccount = 0;
     std::string mText;
     Instant mStartedAt;
     Instant mSentAt;
@@ -150,6 +171,10 @@
   RelayEnvironment MakeEnvironment(size_t aInstance);
   void AddInstance(size_t aInstance);
   void ScheduleFaults();
+  void RestartAll();
+  /// How much more of the account arrives now than usually.
+  double FactorOf(const AccountLoad& aAccount) const;
+  size_t DrawAccount();
   void ScheduleArrivals(size_t aRoute);
   void ScheduleTicks(size_t aInstance);
   void ScheduleReplication();
--- a/Tests/LoadPatterns/main.cpp
+++ b/Tests/LoadPatterns/main.cpp
@@ -58,6 +58,15 @@
                 fault.InTimeShare(),
                 fault.ServedShare());
   }
+  for (size_t it = 0; it < aPattern.mAccounts.size(); ++it) {
+    const auto& fault = aResult.mFaultAccounts[it];
+    std::printf("  account %-6s %5u during the fault: in time %.3f, served "
+                "%.3f\n",
+                aPattern.mAccounts[it].mAccount.mName.c_str(),
+                fault.mOffered,
+                fault.InTimeShare(),
+                fault.ServedShare());
+  }
 }
 
 }
