LibRelay: Share slots between client accounts and across homes

Cause: the order within a rank is that of arrival, so one account far above its usual delays all others; each home's concurrency limit falls with the answer time, whoever caused it, so that the first rank waits at its own home while other homes' lower ranks have the slots; an instance forwards statements that no home can serve in time.

LoadWorld plays accounts, homes and a restart of all.

--- a/Libraries/LibDecision/ConcurrencyLimit.h
+++ b/Libraries/LibDecision/ConcurrencyLimit.h
@@ -27,11 +27,6 @@
   unsigned Limit() const { return mLimit; }
   /// The smoothed answer time.
   Duration AnswerTime() const { return mAnswerTime; }
-  /// The shortest smoothed answer time; before the first answer the usual one.
-  Duration ShortestAnswerTime() const
-  {
-    return mShortestAnswerTime.value_or(mAnswerTime);
-  }
 
 private:
   void Adapt(unsigned aRunning);
--- a/Libraries/LibDecision/FairOrder.cpp
+++ b/Libraries/LibDecision/FairOrder.cpp
@@ -89,10 +89,9 @@
   for (const auto& it : aWaiting) {
     counts[it.mAccount] += priority(it) == lowest ? 1 : 0;
   }
-  const auto most =
-    std::ranges::max_element(counts, {}, [](const auto& it) {
-      return it.second;
-    })->first;
+  const auto most = std::ranges::max_element(counts, {}, [](const auto& it) {
+                      return it.second;
+                    })->first;
   const auto newest = std::ranges::find_if(
     aWaiting.rbegin(), aWaiting.rend(), [&](const auto& it) {
       return priority(it) == lowest && it.mAccount == most;
--- a/Libraries/LibDecision/GroupLoad.h
+++ b/Libraries/LibDecision/GroupLoad.h
@@ -21,8 +21,8 @@
   {
     return mWaitByRank.empty()
              ? std::nullopt
-             : std::optional(mWaitByRank[std::min<size_t>(
-                 aRank, mWaitByRank.size() - 1)]);
+             : std::optional(
+                 mWaitByRank[std::min<size_t>(aRank, mWaitByRank.size() - 1)]);
   }
 
   bool operator==(const GroupLoad&) const = default;
--- a/Libraries/LibDecision/LoadNews.cpp
+++ b/Libraries/LibDecision/LoadNews.cpp
@@ -51,14 +51,12 @@
   if (wait <= aTimeLeft) {
     return aPreferred;
   }
-  const auto best = std::ranges::min_element(aHomes, {}, [](const auto& it) {
-    return it.mWait.value_or(Duration{});
-  });
+  const auto best = std::ranges::min_element(
+    aHomes, {}, [](const auto& it) { return it.mWait.value_or(Duration{}); });
   const bool isServable = best->mWait.value_or(Duration{}) <= aTimeLeft;
   const auto excess = std::chrono::duration<double>(wait - aTimeLeft) /
                       std::chrono::duration<double>(wait);
-  const auto leaving =
-    std::min(isServable ? excess : 1.0, 1.0 - kLearningPart);
+  const auto leaving = std::min(isServable ? excess : 1.0, 1.0 - kLearningPart);
   if (aDraw >= leaving) {
     return aPreferred;
   }
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -134,13 +134,13 @@
         : !aPending.mTriedPeers.contains(it.mName) && mPeers.IsUsable(it.mName);
     candidates.push_back(candidate);
   }
-  const auto choice = ChooseHome({ mGroup->Name(),
-                                   self.mName,
-                                   self.mFailureDomain,
-                                   HomeDirectory::PrimaryDomain(*mGroup),
-                                   aPending.mRequest.Kind() ==
-                                     QueueKind::AtPrimary },
-                                 candidates);
+  const auto choice =
+    ChooseHome({ mGroup->Name(),
+                 self.mName,
+                 self.mFailureDomain,
+                 HomeDirectory::PrimaryDomain(*mGroup),
+                 aPending.mRequest.Kind() == QueueKind::AtPrimary },
+               candidates);
   if (!choice) {
     return std::optional<std::string>();
   }
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -4,7 +4,6 @@
 #include "LibDecision/ConcurrencyLimit.h"
 #include "LibDecision/FairOrder.h"
 #include "LibDecision/LoadNews.h"
-#include "LibDecision/RankLimit.h"
 #include "LibDecision/RetryBudget.h"
 #include "LibDecision/TakeoverMachine.h"
 #include "LibDecision/Topology.h"
@@ -228,7 +227,6 @@
   {
     std::unique_ptr<LinkPool> mPool;
     ConcurrencyLimit mConcurrency;
-    RankLimit mRankLimit;
     /// The member refused a statement for lack of a slot and is sent none
     /// before this instant.
     Instant mBusyUntil;
@@ -265,11 +263,8 @@
                            const std::string& aUpstream) const;
   void ObserveStart(const Attempt& aAttempt);
   void RefuseAtFullQueue(const PendingRequestPointer& aNewcomer);
-  unsigned ParallelAt(const Member& aMember, unsigned aRank) const;
-  unsigned RunningOfRank(const std::string& aName, unsigned aRank) const;
-  bool MayStartAt(const std::string& aName,
-                  const Member& aMember,
-                  unsigned aRank) const;
+  unsigned LimitAt(const std::string& aName, unsigned aRank) const;
+  unsigned ParallelAt(const std::string& aName, unsigned aRank) const;
   bool IsPastTarget(const PendingRequest& aPending, Instant aNow) const;
   Duration AnswerTimeOf(const std::string& aName) const;
   Instant DeadlineOf(const PendingRequest& aPending) const;
@@ -280,6 +275,7 @@
   bool TryStart(const PendingRequestPointer& aPending);
   bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
   void RequestConnection(const std::string& aBest,
+                         unsigned aRank,
                          const RelayRequirements& aRequirements);
   void RefreshConnectionPlan(const std::string& aName);
   bool IsSuspected(const GroupPrimary& aPrimary) const;
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -31,8 +31,8 @@
     candidate.mName = it.mName;
     candidate.mIsAvailable =
       member.mPool->HasFree() && member.mBusyUntil <= now &&
-      member.mPool->RunningCount() < member.mConcurrency.Limit() &&
-      MayStartAt(it.mName, member, aPending.mRequest.mRoute.mRank);
+      member.mPool->RunningCount() <
+        LimitAt(it.mName, aPending.mRequest.mRoute.mRank);
     candidate.mDistance = mEnvironment.mTopology.Between(
       mEnvironment.mFailureDomain, it.mFailureDomain);
     candidate.mIsExcluded = aPending.mExcludedUpstreams.contains(it.mName) ||
@@ -73,7 +73,9 @@
   }
   if (choice.mVerdict == RelayVerdict::WaitForConnection) {
     aPending->mWaitsAt = candidates[choice.mIndex].mName;
-    RequestConnection(candidates[choice.mIndex].mName, requirements);
+    RequestConnection(candidates[choice.mIndex].mName,
+                      aPending->mRequest.mRoute.mRank,
+                      requirements);
   }
   if (choice.mVerdict != RelayVerdict::Run) {
     return false;
@@ -98,11 +100,12 @@
 /// only when that one takes longer than mTypicalOpenTime.
 void
 RelayGroup::RequestConnection(const std::string& aBest,
+                              unsigned aRank,
                               const RelayRequirements& aRequirements)
 {
   const auto& member = mMembers.at(aBest);
   auto& best = *member.mPool;
-  if (best.RunningCount() >= member.mConcurrency.Limit()) {
+  if (best.RunningCount() >= LimitAt(aBest, aRank)) {
     return;
   }
   best.OpenIfNoneFree();
@@ -336,8 +339,6 @@
     // The link of this statement no longer counts as running.
     it->second.mConcurrency.OnAnswered(now - aAttempt->mStatementSentAt,
                                        it->second.mPool->RunningCount() + 1);
-    it->second.mRankLimit.OnAnswered(
-      it->second.mConcurrency, mSharePolicy.Tolerances(), now);
   }
   if (!aAnswer.mError) {
     OnSuccess(aAttempt, aAnswer);
--- a/Libraries/LibRelay/RelayGroupQueue.cpp
+++ b/Libraries/LibRelay/RelayGroupQueue.cpp
@@ -40,8 +40,7 @@
     if (!isQueued || member == mMembers.end()) {
       continue;
     }
-    const auto parallel =
-      ParallelAt(member->second, it->mRequest.mRoute.mRank);
+    const auto parallel = ParallelAt(it->mWaitsAt, it->mRequest.mRoute.mRank);
     if (parallel > 0) {
       it->mExpectedStart = now + member->second.mConcurrency.AnswerTime() *
                                    waiting[it->mWaitsAt]++ / parallel;
--- a/Libraries/LibRelay/RelayGroupSharing.cpp
+++ b/Libraries/LibRelay/RelayGroupSharing.cpp
@@ -45,12 +45,8 @@
   if (!mSharePolicy.IsEnabled()) {
     return;
   }
-  const auto& name = aAttempt.mLink->Upstream();
-  const auto statement = FairnessOf(*aAttempt.mPending, name);
-  mFairOrder.OnStarted(statement);
-  if (const auto it = mMembers.find(name); it != mMembers.end()) {
-    it->second.mRankLimit.OnStarted(statement.mRank, mEnvironment.mNow());
-  }
+  mFairOrder.OnStarted(
+    FairnessOf(*aAttempt.mPending, aAttempt.mLink->Upstream()));
 }
 
 /// Makes room for a request by refusing one. Without accounts it is the
@@ -79,36 +75,24 @@
   Refuse(refused, { ErrorKind::QueueFull, "queue of the group is full" });
 }
 
-/// How many statements of a rank may run at a database at the same time.
+/// How many statements may run at a database before one more of a rank.
 unsigned
-RelayGroup::ParallelAt(const Member& aMember, unsigned aRank) const
+RelayGroup::LimitAt(const std::string& aName, unsigned aRank) const
 {
-  const auto limit = aMember.mConcurrency.Limit();
-  const auto part = aMember.mRankLimit.PartOf(aRank);
-  return std::min(aMember.mPool->ReadyCount(),
-                  std::max(static_cast<unsigned>(limit * part), 1U));
+  const auto limit = mMembers.at(aName).mConcurrency.Limit();
+  const auto* member = mView.FindMember(aName);
+  if (!mSharePolicy.IsEnabled() || !member) {
+    return limit;
+  }
+  const SlotUse use{ member->mSlots, mPlacement.mSharingInstances, limit };
+  return ConcurrencyOf(use, mSharePolicy.PlaceOf(aRank));
 }
 
-/// The number of statements of a rank or a lower one that run at a database.
 unsigned
-RelayGroup::RunningOfRank(const std::string& aName, unsigned aRank) const
-{
-  return std::ranges::count_if(mAttempts, [&](const auto& it) {
-    return it->mPending->mRequest.mRoute.mRank >= aRank &&
-           it->mLink->Upstream() == aName;
-  });
-}
-
-bool
-RelayGroup::MayStartAt(const std::string& aName,
-                       const Member& aMember,
-                       unsigned aRank) const
+RelayGroup::ParallelAt(const std::string& aName, unsigned aRank) const
 {
-  return aMember.mRankLimit.PartOf(aRank) >= 1 ||
-         aMember.mRankLimit.MayStart(aMember.mConcurrency,
-                                     aRank,
-                                     RunningOfRank(aName, aRank),
-                                     mEnvironment.mNow());
+  return std::min(mMembers.at(aName).mPool->ReadyCount(),
+                  LimitAt(aName, aRank));
 }
 
 std::optional<GroupLoad>
@@ -122,8 +106,8 @@
   std::set<std::string> ofKind;
   unsigned lowest = 0;
   for (const auto& it : mPendingRequests) {
-    const bool isQueued = it->IsWaiting() && it->mExpectedStart &&
-                          mMembers.contains(it->mWaitsAt);
+    const bool isQueued =
+      it->IsWaiting() && it->mExpectedStart && mMembers.contains(it->mWaitsAt);
     if (isQueued) {
       const auto rank = it->mRequest.mRoute.mRank;
       ++waiting[it->mWaitsAt][rank];
@@ -141,7 +125,7 @@
     std::optional<Duration> shortest;
     for (const auto& name : ofKind) {
       const auto& member = mMembers.at(name);
-      const auto parallel = std::max(ParallelAt(member, 0), 1U);
+      const auto parallel = std::max(ParallelAt(name, 0), 1U);
       unsigned ahead = 0;
       for (const auto& [other, n] : waiting.at(name)) {
         ahead += other < rank ? n : 0;
--- a/Libraries/LibRelay/SharePolicy.cpp
+++ b/Libraries/LibRelay/SharePolicy.cpp
@@ -1,16 +1,11 @@
 #include "LibRelay/SharePolicy.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace papayaline {
 
 namespace {
 
-/// An operation waits at databases up to this many times, as a transaction of a
-/// few statements that also needs evidence does. All of that has to fit into
-/// its target latency.
-constexpr int kWaitsPerOperation = 8;
 /// In operations a second.
 constexpr double kMinWeight = 1;
 
@@ -34,24 +29,18 @@
   if (!mWeights.empty()) {
     mMeanWeight = sum / static_cast<double>(mWeights.size());
   }
-  std::map<unsigned, Duration> targets;
   for (const auto& it : aConfiguration.mRoutes) {
     if (it.mGroup == aGroup) {
-      const Duration target = it.mTargetLatency;
-      auto& shortest = targets.try_emplace(it.mRank, target).first->second;
-      shortest = std::min(shortest, target);
+      mRanks.insert(it.mRank);
     }
   }
-  // The lower ranks divide the time that those above them can spare.
-  std::optional<Duration> shortest;
-  int above = 0;
-  for (const auto& [rank, target] : targets) {
-    if (shortest) {
-      mTolerances[rank] = *shortest / (kWaitsPerOperation * above);
-    }
-    shortest = std::min(shortest.value_or(target), target);
-    ++above;
-  }
+}
+
+RankPlace
+SharePolicy::PlaceOf(unsigned aRank) const
+{
+  return mRanks.size() > 1 && aRank <= *mRanks.begin() ? RankPlace::First
+                                                       : RankPlace::Other;
 }
 
 double
--- a/Libraries/LibRelay/SharePolicy.h
+++ b/Libraries/LibRelay/SharePolicy.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "LibConfiguration/RelayConfiguration.h"
-#include "LibDecision/Instant.h"
+#include "LibDecision/SlotShare.h"
 
 #include <map>
+#include <set>
 
 namespace papayaline {
 
@@ -23,18 +24,14 @@
   /// rate of its quota. Accounts without one, and statements without an
   /// account, are due the mean. Greater than 0.
   double WeightOf(const std::string& aAccount) const;
-  /// By rank, how long its statements may make those of the ranks above wait at
-  /// a database. The highest rank is absent.
-  const std::map<unsigned, Duration>& Tolerances() const
-  {
-    return mTolerances;
-  }
+  RankPlace PlaceOf(unsigned aRank) const;
 
 private:
   bool mIsEnabled = false;
   std::map<std::string, double> mWeights;
   double mMeanWeight = 1;
-  std::map<unsigned, Duration> mTolerances;
+  /// Of the group's routes.
+  std::set<unsigned> mRanks;
 };
 
 }
--- a/Tests/LibDecision/TestLoadNews.cpp
+++ b/Tests/LibDecision/TestLoadNews.cpp
@@ -26,8 +26,8 @@
   {
     std::vector<int> counts(aHomes.size() + 1);
     for (int it = 0; it < kDraws; ++it) {
-      const auto choice = ChooseByWait(
-        aHomes, 0, aTimeLeft, static_cast<double>(it) / kDraws);
+      const auto choice =
+        ChooseByWait(aHomes, 0, aTimeLeft, static_cast<double>(it) / kDraws);
       ++counts[choice.value_or(aHomes.size())];
     }
     return counts;
--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -278,7 +278,13 @@
       } else if (isReachable()) {
         Schedule(link->mTo, [=, this] {
           const auto send = [=, this](const PeerMessage& aMessage) {
-            const auto bytes = EncodePeerMessage(aMessage);
+            auto message = aMessage;
+            const auto& told = At(link->mTo).mToldLoad;
+            auto* answer = std::get_if<ForwardAnswer>(&message);
+            if (answer && told) {
+              answer->mLoad = told;
+            }
+            const auto bytes = EncodePeerMessage(message);
             if (!isReachable()) {
               return;
             }
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -103,6 +103,8 @@
     Instant mFrozenUntil;
     /// Messages to and from other instances are lost.
     bool mIsPartitioned = false;
+    /// The load that its answers report, in place of its own.
+    std::optional<GroupLoad> mToldLoad;
     /// Databases that the instance can't connect to.
     std::set<std::string> mUnreachableDatabases;
   };
--- a/Tests/LoadPatterns/LoadPatterns.cpp
+++ b/Tests/LoadPatterns/LoadPatterns.cpp
@@ -226,16 +226,14 @@
 std::span<const LoadPattern>
 LoadPatterns()
 {
-  static const std::array kPatterns = {
-    Quiet(),
-    FlashCrowd(),
-    ReplicasApplyLate(),
-    FailoverToDeafReplica(),
-    CrowdOnLowRank(),
-    OneAccountFarAboveItsUsual(),
-    UrgentCrowdOnTop(),
-    AllRestarted()
-  };
+  static const std::array kPatterns = { Quiet(),
+                                        FlashCrowd(),
+                                        ReplicasApplyLate(),
+                                        FailoverToDeafReplica(),
+                                        CrowdOnLowRank(),
+                                        OneAccountFarAboveItsUsual(),
+                                        UrgentCrowdOnTop(),
+                                        AllRestarted() };
   return kPatterns;
 }
 
--- a/Tests/LoadPatterns/LoadWorld.cpp
+++ b/Tests/LoadPatterns/LoadWorld.cpp
@@ -38,6 +38,7 @@
     : mWorld(aWorld)
     , mDatabase(std::move(aDatabase))
     , mEvents(std::make_shared<ChannelEvents>(std::move(aEvents)))
+    , mRestarts(aWorld.mRestarts)
   {
     auto& database = mWorld.Find(mDatabase);
     StatementAnswer opened;
@@ -56,7 +57,12 @@
                  } });
   }
 
-  ~Channel() override { --mWorld.Find(mDatabase).mConnections; }
+  ~Channel() override
+  {
+    if (mRestarts == mWorld.mRestarts) {
+      --mWorld.Find(mDatabase).mConnections;
+    }
+  }
 
   void Send(const UpstreamCommand& aCommand) override
   {
@@ -102,18 +108,23 @@
   void Reply(const StatementAnswer& aAnswer)
   {
     const std::weak_ptr weak = mEvents;
-    mWorld.Schedule(kOneWayDelay,
-                    [&world = mWorld, name = mDatabase, weak, aAnswer] {
-                      const auto events = weak.lock();
-                      if (events && world.Find(name).mIsAlive) {
-                        events->mOnAnswer(aAnswer);
-                      }
-                    });
+    mWorld.Schedule(
+      kOneWayDelay,
+      [&world = mWorld, name = mDatabase, restarts = mRestarts, weak, aAnswer] {
+        const auto events = weak.lock();
+        const bool isOpen =
+          world.Find(name).mIsAlive && restarts == world.mRestarts;
+        if (events && isOpen) {
+          events->mOnAnswer(aAnswer);
+        }
+      });
   }
 
   LoadWorld& mWorld;
   std::string mDatabase;
   std::shared_ptr<ChannelEvents> mEvents;
+  /// The restarts before the connection was opened; a later one closes it.
+  unsigned mRestarts;
 };
 
 LoadWorld::LoadWorld(LoadPattern aPattern, unsigned aSeed)
@@ -154,9 +165,8 @@
   }
   if (!mPattern.mAccounts.empty()) {
     std::vector<ClientAccount> accounts;
-    std::ranges::transform(mPattern.mAccounts,
-                           std::back_inserter(accounts),
-                           &AccountLoad::mAccount);
+    std::ranges::transform(
+      mPattern.mAccounts, std::back_inserter(accounts), &AccountLoad::mAccount);
     configuration.mAccounts = std::make_shared<ClientAccounts>(accounts);
   }
   configuration.mGroups = { { "g", mPattern.mConnections, 0 } };
@@ -237,8 +247,7 @@
 LoadWorld::ScheduleArrivals(size_t aRoute)
 {
   const auto& load = mPattern.mLoads[aRoute];
-  const auto factor =
-    IsFault(mNow) ? mPattern.mFaultRate * load.mFaultRate : 1;
+  const auto factor = IsFault(mNow) ? mPattern.mFaultRate * load.mFaultRate : 1;
   const auto& accounts = mPattern.mAccounts;
   const auto share = std::accumulate(
     accounts.begin(), accounts.end(), 0.0, [this](double aSum, const auto& it) {
@@ -286,6 +295,10 @@
     }
   }
   mOperations.clear();
+  ++mRestarts;
+  for (auto& it : mDatabases) {
+    it.mConnections = 0;
+  }
   for (size_t it = 0; it < mInstances.size(); ++it) {
     mInstances[it].reset();
     Schedule(kRestartTime, [this, it] { AddInstance(it); });
@@ -336,10 +349,9 @@
 LoadWorld::Attempt(const OperationPointer& aOperation)
 {
   const auto& home = mPattern.mLoads[aOperation->mRoute].mHome;
-  const auto instance =
-    home ? *home
-         : std::uniform_int_distribution<size_t>(
-             0, mInstances.size() - 1)(mRandom);
+  const auto instance = home ? *home
+                             : std::uniform_int_distribution<size_t>(
+                                 0, mInstances.size() - 1)(mRandom);
   // A retry goes to another instance.
   aOperation->mInstance =
     aOperation->mAttempts > 0 && instance == aOperation->mInstance
--- a/Tests/LoadPatterns/LoadWorld.h
+++ b/Tests/LoadPatterns/LoadWorld.h
@@ -208,6 +208,7 @@
   std::vector<std::unique_ptr<RelayRouter>> mInstances;
   std::map<std::string, OperationPointer> mOperations;
   uint64_t mLastId = 0;
+  unsigned mRestarts = 0;
   uint64_t mStatusRequests = 0;
   LoadResult mResult;
 };
--- a/Tests/LoadPatterns/TestLoadPatterns.cpp
+++ b/Tests/LoadPatterns/TestLoadPatterns.cpp
@@ -16,6 +16,10 @@
   CPPUNIT_TEST(OverloadedPrimarySpendsItsSlotsOnStatementsInTime);
   CPPUNIT_TEST(FlashCrowdIsServedOnceItHasPassed);
   CPPUNIT_TEST(ReadsAreServedWhileTheOnlyReplicaIsDeaf);
+  CPPUNIT_TEST(CrowdOnLowRankIsPaidForByItself);
+  CPPUNIT_TEST(AccountFarAboveItsUsualPaysMoreThanTheOthers);
+  CPPUNIT_TEST(FirstRankIsInTimeInAnUrgentCrowdOnTop);
+  CPPUNIT_TEST(AllRestartedCallersAreServedAgain);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr unsigned kSeeds = 8;
@@ -23,6 +27,13 @@
   static constexpr size_t kUrgent = 0;
   static constexpr size_t kOwn = 1;
   static constexpr size_t kAged = 2;
+  static constexpr size_t kFirst = 0;
+  static constexpr size_t kSecond = 1;
+  static constexpr size_t kThird = 2;
+  /// The accounts, in order.
+  static constexpr size_t kLarge = 0;
+  static constexpr size_t kUsual = 1;
+  static constexpr size_t kSmall = 2;
 
   static std::vector<LoadResult> Play(const std::string& aName)
   {
@@ -37,12 +48,30 @@
   static double FaultMean(const std::vector<LoadResult>& aResults,
                           size_t aRoute,
                           double (RouteResult::*aShare)() const)
+  {
+    return Mean(aResults, &LoadResult::mFaultRoutes, aRoute, aShare);
+  }
+
+  /// The mean share of the operations of one account in time during the fault.
+  static double AccountMean(const std::vector<LoadResult>& aResults,
+                            size_t aAccount)
+  {
+    return Mean(aResults,
+                &LoadResult::mFaultAccounts,
+                aAccount,
+                &RouteResult::InTimeShare);
+  }
+
+  static double Mean(const std::vector<LoadResult>& aResults,
+                     std::vector<RouteResult> LoadResult::*aPart,
+                     size_t aIndex,
+                     double (RouteResult::*aShare)() const)
   {
     return std::accumulate(aResults.begin(),
                            aResults.end(),
                            0.0,
                            [=](double aSum, const auto& it) {
-                             return aSum + (it.mFaultRoutes[aRoute].*aShare)();
+                             return aSum + ((it.*aPart)[aIndex].*aShare)();
                            }) /
            static_cast<double>(aResults.size());
   }
@@ -96,6 +125,60 @@
     CPPUNIT_ASSERT(FaultMean(results, kAged, &RouteResult::ServedShare) >=
                    0.72);
   }
+
+  /// The ranks above the crowd need two fifths of the slots, and the smallest
+  /// account needs half of its share even of the crowd's route.
+  void CrowdOnLowRankIsPaidForByItself()
+  {
+    const auto results = Play("crowd-on-low-rank");
+    CPPUNIT_ASSERT(FaultMean(results, kFirst, &RouteResult::InTimeShare) >=
+                   0.99);
+    CPPUNIT_ASSERT(FaultMean(results, kSecond, &RouteResult::InTimeShare) >=
+                   0.99);
+    CPPUNIT_ASSERT(FaultMean(results, kThird, &RouteResult::ServedShare) >=
+                   0.97);
+    CPPUNIT_ASSERT(AccountMean(results, kSmall) >= 0.9);
+  }
+
+  /// The small account is the one far above its usual. The others need half of
+  /// the slots.
+  void AccountFarAboveItsUsualPaysMoreThanTheOthers()
+  {
+    const auto results = Play("one-account-far-above-its-usual");
+    CPPUNIT_ASSERT(FaultMean(results, kFirst, &RouteResult::InTimeShare) >=
+                   0.99);
+    for (const auto account : { kLarge, kUsual }) {
+      CPPUNIT_ASSERT(AccountMean(results, account) >= 0.93);
+      CPPUNIT_ASSERT(AccountMean(results, account) >
+                     AccountMean(results, kSmall) + 0.02);
+    }
+  }
+
+  /// The first rank needs a tenth of the slots, in three times its usual
+  /// number.
+  void FirstRankIsInTimeInAnUrgentCrowdOnTop()
+  {
+    const auto results = Play("urgent-crowd-on-top");
+    CPPUNIT_ASSERT(FaultMean(results, kFirst, &RouteResult::InTimeShare) >=
+                   0.95);
+    CPPUNIT_ASSERT(FaultMean(results, kFirst, &RouteResult::ServedShare) >=
+                   0.99);
+    CPPUNIT_ASSERT(FaultMean(results, kSecond, &RouteResult::InTimeShare) >=
+                   0.85);
+  }
+
+  /// The restart takes the first of four seconds. What arrived then comes back
+  /// at once when it is over.
+  void AllRestartedCallersAreServedAgain()
+  {
+    const auto results = Play("all-restarted");
+    for (const auto route : { kFirst, kSecond, kThird }) {
+      CPPUNIT_ASSERT(FaultMean(results, route, &RouteResult::InTimeShare) >=
+                     0.75);
+      CPPUNIT_ASSERT(FaultMean(results, route, &RouteResult::ServedShare) >=
+                     0.99);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestLoadPatterns);
