--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -32,7 +32,8 @@
     candidate.mIsAvailable =
       member.mPool->HasFree(aPending.mRequest.mAuthority.mAccount) &&
       member.mBusyUntil <= now &&
-      member.mPool->RunningCount() < member.mConcurrency.Limit();
+      member.mPool->RunningCount() <
+        LimitAt(it.mName, aPending.mRequest.mRoute.mRank);
     candidate.mDistance = mEnvironment.mTopology.Between(
       mEnvironment.mFailureDomain, it.mFailureDomain);
     candidate.mIsExcluded = aPending.mExcludedUpstreams.contains(it.mName) ||
@@ -75,6 +76,7 @@
     aPending->mWaitsAt = candidates[choice.mIndex].mName;
     RequestConnection(candidates[choice.mIndex].mName,
                       aPending->mRequest.mAuthority.mAccount,
+                      aPending->mRequest.mRoute.mRank,
                       requirements);
   }
   if (choice.mVerdict != RelayVerdict::Run) {
@@ -102,11 +104,12 @@
 void
 RelayGroup::RequestConnection(const std::string& aBest,
                               const std::string& aAccount,
+                              unsigned aRank,
                               const RelayRequirements& aRequirements)
 {
   const auto& member = mMembers.at(aBest);
   auto& best = *member.mPool;
-  if (best.RunningCount() >= member.mConcurrency.Limit()) {
+  if (best.RunningCount() >= LimitAt(aBest, aRank)) {
     return;
   }
   best.OpenIfNoneFree(aAccount);
@@ -181,6 +184,7 @@
     aPending->mSentAt = attempt->mStartedAt;
   }
   mAttempts.push_back(attempt);
+  ObserveStart(*attempt);
   Prepare(attempt);
 }
 
