LibDecision, LibPeer, LibRelay: Lend the tokens of quotas between instances

Cause: no instance limits the operations of a client account, so an account may send any number over all instances.

Change: each instance mints an equal share of an account's tokens. Those with demand withdraw more at a bank, which collects them from the others; tokens pass only in answers that arrive in time. A group asks for the admission of an operation when it arrives, and again when it waited for long.

--- a/Libraries/LibPeer/PeerMessages.cpp
+++ b/Libraries/LibPeer/PeerMessages.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr int64_t kMaxRank = 1'000'000;
+constexpr double kTokenParts = 1000;
+/// In thousandths: the largest quota of a configuration.
+constexpr int64_t kMaxTokens = 1'000'000'000'000;
 
 /// Reads the items of a JSON array in order. IsValid tells whether all items
 /// that were read exist and have the expected type.
@@ -447,6 +450,83 @@
   return aReader.IsValid();
 }
 
+/// Rounded down, so that no tokens are made.
+QJsonValue
+FromTokens(double aTokens)
+{
+  return static_cast<qint64>(aTokens * kTokenParts);
+}
+
+double
+ReadTokens(ArrayReader& aReader)
+{
+  return static_cast<double>(aReader.Integer(0, kMaxTokens)) / kTokenParts;
+}
+
+QJsonArray
+ToArray(const QuotaRequest& aMessage)
+{
+  QJsonArray demands;
+  for (const auto& it : aMessage.mDemands) {
+    demands.append(FromText(it.mAccount));
+    demands.append(FromTokens(it.mWanted));
+    demands.append(FromTokens(it.mNeeded));
+  }
+  return { FromNumber(aMessage.mCall),
+           FromChoice(aMessage.mPurpose),
+           FromNumber(aMessage.mInstances),
+           demands };
+}
+
+bool
+Read(ArrayReader& aReader, QuotaRequest& aMessage)
+{
+  aMessage.mCall = aReader.Number();
+  aMessage.mPurpose = aReader.Choice(QuotaPurpose::Collect);
+  aMessage.mInstances = aReader.Number();
+  auto demands = aReader.Array();
+  demands.ForEachRemaining([&] {
+    QuotaDemand demand;
+    demand.mAccount = demands.Text();
+    demand.mWanted = ReadTokens(demands);
+    demand.mNeeded = ReadTokens(demands);
+    aMessage.mDemands.push_back(std::move(demand));
+  });
+  aReader.MergeValidity(demands);
+  return aReader.IsValid();
+}
+
+QJsonArray
+ToArray(const QuotaAnswer& aMessage)
+{
+  QJsonArray payouts;
+  for (const auto& it : aMessage.mPayouts) {
+    payouts.append(FromText(it.mAccount));
+    payouts.append(FromTokens(it.mTokens));
+    payouts.append(FromTime(it.mRetryAfter));
+  }
+  return { FromNumber(aMessage.mCall),
+           FromNumber(aMessage.mInstances),
+           payouts };
+}
+
+bool
+Read(ArrayReader& aReader, QuotaAnswer& aMessage)
+{
+  aMessage.mCall = aReader.Number();
+  aMessage.mInstances = aReader.Number();
+  auto payouts = aReader.Array();
+  payouts.ForEachRemaining([&] {
+    QuotaPayout payout;
+    payout.mAccount = payouts.Text();
+    payout.mTokens = ReadTokens(payouts);
+    payout.mRetryAfter = payouts.Time();
+    aMessage.mPayouts.push_back(std::move(payout));
+  });
+  aReader.MergeValidity(payouts);
+  return aReader.IsValid();
+}
+
 /// Messages without fields.
 template<typename Message>
 requires std::is_empty_v<Message> QJsonArray
@@ -464,9 +544,9 @@
 }
 
 /// The names on the wire, in the order of PeerMessage.
-constexpr std::array kMessageNames = { "hello",   "run",    "ran",  "cancel",
-                                       "abandon", "ping",   "pong", "leaving",
-                                       "watch",   "objects" };
+constexpr std::array kMessageNames = { "hello",   "run",     "ran",  "cancel",
+                                       "abandon", "ping",    "pong", "leaving",
+                                       "watch",   "objects", "need", "tokens" };
 static_assert(kMessageNames.size() == std::variant_size_v<PeerMessage>);
 
 template<size_t Index = 0>
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/GroupLoad.h"
+#include "LibDecision/QuotaBank.h"
 #include "LibPlatform/ObjectStore.h"
 #include "LibRelay/RelayRequest.h"
 
@@ -130,6 +131,38 @@
   bool operator==(const ObjectsAnswer&) const = default;
 };
 
+enum class QuotaPurpose
+{
+  /// The sender needs tokens, which the receiver collects as a bank.
+  Withdraw,
+  /// The sender collects, as a bank, tokens that the receiver does not need.
+  Collect,
+};
+
+/// Requests tokens of accounts. On the wire, tokens are thousandths. Sent to
+/// instances of feature level 1 or higher.
+struct QuotaRequest
+{
+  uint64_t mCall = 0;
+  QuotaPurpose mPurpose = QuotaPurpose::Withdraw;
+  /// How many instances the sender knows from the store; 0 for unknown.
+  uint64_t mInstances = 0;
+  std::vector<QuotaDemand> mDemands;
+
+  bool operator==(const QuotaRequest&) const = default;
+};
+
+/// The answer to a QuotaRequest. The sender no longer has the tokens.
+struct QuotaAnswer
+{
+  uint64_t mCall = 0;
+  /// How many instances the sender knows from the store; 0 for unknown.
+  uint64_t mInstances = 0;
+  std::vector<QuotaPayout> mPayouts;
+
+  bool operator==(const QuotaAnswer&) const = default;
+};
+
 using PeerMessage = std::variant<PeerHello,
                                  ForwardStatement,
                                  ForwardAnswer,
@@ -139,7 +172,9 @@
                                  PeerPong,
                                  PeerLeaving,
                                  WatchObjects,
-                                 ObjectsAnswer>;
+                                 ObjectsAnswer,
+                                 QuotaRequest,
+                                 QuotaAnswer>;
 
 /// A message as a JSON array. Pure; any thread.
 QByteArray
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// The feature level of instances that read requests for tokens.
+constexpr int kQuotaFeatureLevel = 1;
+/// Longer than a request for tokens is valid; the handler ignores late answers.
+constexpr Duration kQuotaTimeout = std::chrono::seconds(1);
+
 /// The ages in a forwarded statement are those at the time of sending. They are
 /// rounded down; see MakeForwardStatement.
 void
@@ -167,6 +172,29 @@
   StartCall(peer, id, std::move(call), std::move(aWatch));
 }
 
+void
+PeerPool::AskQuota(const std::string& aPeer,
+                   QuotaRequest aRequest,
+                   QuotaHandler aHandler)
+{
+  auto& peer = EnsureConnected(aPeer);
+  aRequest.mCall = ++mLastCallId;
+  Call call;
+  call.mOnQuota = std::move(aHandler);
+  call.mDeadline = mClock() + kQuotaTimeout;
+  const auto id = aRequest.mCall;
+  StartCall(peer, id, std::move(call), std::move(aRequest));
+}
+
+std::optional<int>
+PeerPool::FeatureLevelOf(const std::string& aPeer) const
+{
+  const auto it = mPeers.find(aPeer);
+  return it != mPeers.end() && it->second.mIsOpen
+           ? std::optional(it->second.mFeatureLevel)
+           : std::nullopt;
+}
+
 bool
 PeerPool::IsTransactionAlive(const ForwardedTransaction& aTransaction) const
 {
@@ -206,12 +234,15 @@
 /// Sends the calls that wait for the connection. After a stall the deadline of
 /// some may have passed; they are left to expire as not run.
 void
-PeerPool::OnHello(Peer& aPeer)
+PeerPool::OnHello(Peer& aPeer, const PeerHello& aHello)
 {
   const auto now = mClock();
   aPeer.mIsOpen = true;
+  aPeer.mFeatureLevel = aHello.mFeatureLevel;
   for (auto& [id, it] : aPeer.mCalls) {
-    if (!it.mUnsent || now >= it.mDeadline) {
+    const bool isUnreadable =
+      it.mOnQuota && aPeer.mFeatureLevel < kQuotaFeatureLevel;
+    if (!it.mUnsent || now >= it.mDeadline || isUnreadable) {
       continue;
     }
     auto unsent = *std::exchange(it.mUnsent, std::nullopt);
@@ -230,9 +261,10 @@
     mLog("peer.regained", { { "peer", aPeer } });
     peer.mConsecutiveFailures = 0;
   }
-  std::visit(Overloaded{ [&](const PeerHello&) { OnHello(peer); },
+  std::visit(Overloaded{ [&](const PeerHello& it) { OnHello(peer, it); },
                          [&](const ForwardAnswer& it) { OnAnswer(peer, it); },
                          [&](const ObjectsAnswer& it) { OnObjects(peer, it); },
+                         [&](const QuotaAnswer& it) { OnQuota(peer, it); },
                          [&](const PeerLeaving&) {
                            mLog("peer.leaving", { { "peer", aPeer } });
                            peer.mIsLeaving = true;
@@ -288,6 +320,20 @@
   }
 }
 
+void
+PeerPool::OnQuota(Peer& aPeer, const QuotaAnswer& aAnswer)
+{
+  const auto it = aPeer.mCalls.find(aAnswer.mCall);
+  if (it == aPeer.mCalls.end()) {
+    return;
+  }
+  const auto handler = std::move(it->second.mOnQuota);
+  aPeer.mCalls.erase(it);
+  if (handler) {
+    handler(aAnswer);
+  }
+}
+
 void
 PeerPool::FailCall(const Call& aCall, const Error& aError)
 {
@@ -300,6 +346,9 @@
   if (aCall.mOnObjects) {
     aCall.mOnObjects(aError);
   }
+  if (aCall.mOnQuota) {
+    aCall.mOnQuota(aError);
+  }
 }
 
 /// Closes the connection and fails its calls. The peer rolls back the
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -65,6 +65,7 @@
   using Clock = std::function<Instant()>;
   using ForwardHandler = std::function<void(const ForwardOutcome&)>;
   using ObjectsHandler = std::function<void(const Result<ObjectsAnswer>&)>;
+  using QuotaHandler = std::function<void(const Result<QuotaAnswer>&)>;
   using LogSink = std::function<void(
     const std::string& aEvent,
     const std::vector<std::pair<std::string, std::string>>&)>;
@@ -105,6 +106,17 @@
              WatchObjects aWatch,
              ObjectsHandler aHandler);
 
+  /// Requests tokens. Errors: DeadlinePassed when the peer does not answer in
+  /// time, Unreachable when the connection closes or the peer is of an older
+  /// version. The handler is called after AskQuota has returned. Precondition:
+  /// the peer is usable.
+  void AskQuota(const std::string& aPeer,
+                QuotaRequest aRequest,
+                QuotaHandler aHandler);
+  /// The feature level that the peer sent with its hello; unset while it is not
+  /// connected.
+  std::optional<int> FeatureLevelOf(const std::string& aPeer) const;
+
   /// Must run at least each 20 ms.
   void Tick();
 
@@ -120,6 +132,7 @@
   {
     ForwardHandler mOnForward;
     ObjectsHandler mOnObjects;
+    QuotaHandler mOnQuota;
     /// In run time.
     Instant mStartedAt;
     Instant mDeadline;
@@ -139,6 +152,8 @@
     uint64_t mConnection = 0;
     /// Whether the peer has sent its hello.
     bool mIsOpen = false;
+    /// Valid while mIsOpen.
+    int mFeatureLevel = 0;
     bool mIsLeaving = false;
     bool mIsInFleet = true;
     /// In run time.
@@ -162,10 +177,11 @@
                  Call aCall,
                  PeerMessage aMessage);
   void Open(const std::string& aName, Peer& aPeer);
-  void OnHello(Peer& aPeer);
+  void OnHello(Peer& aPeer, const PeerHello& aHello);
   void OnMessage(const std::string& aPeer, const PeerMessage& aMessage);
   void OnAnswer(Peer& aPeer, const ForwardAnswer& aAnswer);
   void OnObjects(Peer& aPeer, const ObjectsAnswer& aAnswer);
+  void OnQuota(Peer& aPeer, const QuotaAnswer& aAnswer);
   void Close(const std::string& aPeer, const std::string& aReason);
   void CheckLiveness(const std::string& aName, Peer& aPeer, Instant aRunTime);
   /// Ends the calls whose deadline is not after aDue.
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -78,6 +78,10 @@
           });
         return Done{};
       },
+      [&](const QuotaRequest& it) -> Result<Done> {
+        ServeQuota(it);
+        return Done{};
+      },
       [](const auto&) -> Result<Done> {
         return MakeProtocolViolation(
           "message that only the accepting instance may send");
@@ -173,6 +177,21 @@
   mSend(answer);
 }
 
+void
+PeerServer::Session::ServeQuota(const QuotaRequest& aRequest)
+{
+  if (!mServer.mQuota) {
+    mSend(QuotaAnswer{ aRequest.mCall, 0, {} });
+    return;
+  }
+  mServer.mQuota->ServeQuota(
+    aRequest, [weak = weak_from_this()](const QuotaAnswer& aAnswer) {
+      if (const auto self = weak.lock()) {
+        self->mSend(aAnswer);
+      }
+    });
+}
+
 void
 PeerServer::Session::Cancel(uint64_t aCall)
 {
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -7,6 +7,21 @@
 
 namespace papayaline {
 
+/// Answers the requests of other instances for tokens of accounts. Thread
+/// safety: one thread.
+class QuotaServer
+{
+public:
+  using AnswerHandler = std::function<void(const QuotaAnswer&)>;
+
+  virtual ~QuotaServer() = default;
+
+  /// Calls the handler once, at once or within the time that the tokens are
+  /// valid.
+  virtual void ServeQuota(const QuotaRequest& aRequest,
+                          AnswerHandler aHandler) = 0;
+};
+
 /// Runs statements that other instances forward, on this instance's own
 /// connections only: a statement is never forwarded again. Sockets and the
 /// clock are injected. Thread safety: one thread.
@@ -50,6 +65,7 @@
     };
 
     Result<Done> RunStatement(const ForwardStatement& aStatement);
+    void ServeQuota(const QuotaRequest& aRequest);
     void Cancel(uint64_t aCall);
     void RollBack(uint64_t aTransaction);
     void OnOutcome(uint64_t aCall,
@@ -71,6 +87,10 @@
              SharedObjectStore& aStore,
              Clock aClock);
 
+  /// Sets who answers requests for tokens; null, and none are given, where
+  /// operations are not limited. It must live as long as this object.
+  void SetQuotaServer(QuotaServer* aQuota) { mQuota = aQuota; }
+
   /// Starts a session for a new connection and sends the hello message.
   std::shared_ptr<Session> Accept(Sender aSend);
   /// Announces to all connected instances that this one is shutting down.
@@ -91,6 +111,7 @@
   RelayRouter& mRouter;
   SharedObjectStore& mStore;
   Clock mClock;
+  QuotaServer* mQuota = nullptr;
   std::set<Session*> mSessions;
   bool mIsLeaving = false;
   bool mIsDeclining = false;
--- a/Libraries/LibRelay/PendingRequest.h
+++ b/Libraries/LibRelay/PendingRequest.h
@@ -29,6 +29,12 @@
   /// When it is expected to be sent, if it waits for one of the connections of
   /// this instance to become free.
   std::optional<Instant> mExpectedStart;
+  /// When the operation was last admitted by the quota of its account.
+  std::optional<Instant> mAdmittedAt;
+  /// The admission was requested and not decided yet.
+  bool mAwaitsAdmission = false;
+  /// Whether a database was sent the statement and did not refuse to run it.
+  bool mWasSent = false;
   bool mIsFinished = false;
   bool mAwaitsConfirmation = false;
 
@@ -44,11 +50,12 @@
            (mRequest.mAccess == Access::Write &&
             mRequest.mMode == TransactionMode::None && !mTransaction);
   }
-  bool IsWaiting() const
+  bool IsUnsent() const
   {
     return !mIsFinished && !mAwaitsConfirmation && mInFlight == 0 &&
            !mTransaction;
   }
+  bool IsWaiting() const { return IsUnsent() && !mAwaitsAdmission; }
   std::string Id() const { return mRequest.mStatement.mId; }
 };
 
--- a/Libraries/LibRelay/QuotaGate.h
+++ b/Libraries/LibRelay/QuotaGate.h
@@ -29,6 +29,9 @@
   virtual void Admit(const std::string& aAccount, Handler aHandler) = 0;
   /// Takes back the count of an admitted operation that no database received.
   virtual void Return(const std::string& aAccount) = 0;
+  /// How long an admission is valid. An operation that was not sent to a
+  /// database by then needs another one, after Return of the first.
+  virtual Duration Validity() const = 0;
 };
 
 }
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -112,7 +112,9 @@
       return it->mRequest.mRoute.mRank;
     });
   mPendingRequests.insert(at, pending);
-  Dispatch();
+  if (RequireAdmission(pending)) {
+    Dispatch();
+  }
 }
 
 void
@@ -140,8 +142,11 @@
 {
   const auto n = std::erase_if(mPendingRequests, [&](const auto& it) {
     const bool isCancelled =
-      it->mRequest.mSession.get() == &aSession && it->IsWaiting();
-    it->mIsFinished |= isCancelled;
+      it->mRequest.mSession.get() == &aSession && it->IsUnsent();
+    if (isCancelled) {
+      it->mIsFinished = true;
+      ReturnAdmission(*it);
+    }
     return isCancelled;
   });
   return n > 0;
@@ -206,6 +211,7 @@
   RequestEvidence(now);
   CheckUnconfirmedWrites();
   ExpireRequests(now);
+  RenewAdmissions(now);
   HedgeReads(now);
   Dispatch();
 }
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -247,6 +247,15 @@
   Error ExpiryError(const PendingRequest& aPending) const;
   void ExpireRequests(Instant aNow);
 
+  // Quotas.
+  /// Whether the operation is admitted. Otherwise it was refused, or waits and
+  /// is dispatched when it is admitted.
+  bool RequireAdmission(const PendingRequestPointer& aPending);
+  bool IsAdmissionValid(const PendingRequest& aPending) const;
+  /// Gives the admission of a statement back that no database received.
+  void ReturnAdmission(PendingRequest& aPending);
+  void RenewAdmissions(Instant aNow);
+
   // Routing.
   bool TryStart(const PendingRequestPointer& aPending);
   bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
@@ -366,6 +375,10 @@
   bool mIsStandingBy = false;
   bool mIsDispatchDue = false;
   bool mIsDispatching = false;
+  /// Whether a call of QuotaGate::Admit has not returned yet.
+  bool mIsAdmitting = false;
+  /// Handlers of the quota gate hold a weak reference to it.
+  std::shared_ptr<const bool> mLifetime = std::make_shared<const bool>(true);
 };
 
 }
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -83,6 +83,10 @@
     RequestEvidence(mEnvironment.mNow());
     return false;
   }
+  // A hedged read is the same operation.
+  if (aPending->mInFlight == 0 && !RequireAdmission(aPending)) {
+    return false;
+  }
   auto& pool = *mMembers.at(candidates[choice.mIndex].mName).mPool;
   auto link = pool.Acquire(*aPending->mRequest.mSession);
   if (!link) {
@@ -250,6 +254,13 @@
     RequestEvidence(mEnvironment.mNow());
     return;
   }
+  const bool isFirst = !pending.mTransaction && pending.mInFlight == 1;
+  if (isFirst && !RequireAdmission(aAttempt->mPending)) {
+    ReleaseLink(aAttempt);
+    RemoveAttempt(aAttempt);
+    return;
+  }
+  aAttempt->mPending->mWasSent = true;
   UpstreamCommand command;
   command.mId = request.mStatement.mId;
   command.mText = request.mStatement.mText;
@@ -423,6 +434,8 @@
   if (isFinal) {
     Refuse(pending, error);
   } else {
+    // The database did not run it.
+    pending->mWasSent = pending->mInFlight > 0;
     Retry(aAttempt, error);
   }
 }
@@ -443,6 +456,10 @@
       { ErrorKind::OutcomeUnknown, "connection closed before the answer" });
     return;
   }
+  if (aAttempt->mIsStatementSent) {
+    // The statement may have run, so another attempt counts as an operation.
+    pending->mAdmittedAt.reset();
+  }
   const Error lost{ ErrorKind::UpstreamLost, "connection closed" };
   const bool isInTransaction =
     pending->mTransaction ||
--- a/Libraries/LibRelay/RelayGroupEnding.cpp
+++ b/Libraries/LibRelay/RelayGroupEnding.cpp
@@ -57,6 +57,7 @@
        ? mCounts.mOutcomesUnknown
        : mCounts.mRefused);
   LogRefusal(*aPending, aError);
+  ReturnAdmission(*aPending);
   StatementAnswer answer;
   answer.mError = aError;
   Finish(aPending, answer);
--- a/Services/Papayalined/Relay/FleetController.cpp
+++ b/Services/Papayalined/Relay/FleetController.cpp
@@ -106,6 +106,13 @@
   std::ranges::transform(aBatch.Value().mObjects,
                          std::back_inserter(entries),
                          [this](const auto& it) { return ParseEntry(it); });
+  if (!mListingAtStart) {
+    const bool isListed =
+      std::ranges::find(aBatch.Value().mObjects,
+                        mInstanceName,
+                        &StoredObject::mName) != aBatch.Value().mObjects.end();
+    mListingAtStart = isListed ? StartListing::Listed : StartListing::NotListed;
+  }
   const auto before = mView.LiveInstances();
   mView.Observe(entries, aBatch.Value().mStoreRevision.mEra, mClock());
   if (mView.LiveInstances() != before) {
--- a/Services/Papayalined/Relay/FleetController.h
+++ b/Services/Papayalined/Relay/FleetController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/FleetView.h"
+#include "LibDecision/QuotaMembership.h"
 #include "LibPlatform/ObjectStore.h"
 #include "LibRelay/UpstreamLink.h"
 
@@ -30,6 +31,12 @@
   {
     return mView.LiveInstances();
   }
+  /// Whether the first list included this instance, by an entry of an earlier
+  /// incarnation.
+  StartListing ListingAtStart() const
+  {
+    return mListingAtStart.value_or(StartListing::NotListed);
+  }
   /// Announces this instance again, after the store was restored.
   void OnStoreRestored();
 
@@ -57,6 +64,8 @@
   UpstreamLink::Clock mClock;
   std::function<void()> mOnChange;
   FleetView mView;
+  /// Unset before the first list.
+  std::optional<StartListing> mListingAtStart;
   /// The revision of this instance's entry; 0 when it does not exist, nothing
   /// when unknown.
   std::optional<StoreRevision> mOwnRevision;
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -26,6 +26,9 @@
 /// The weight of an instance whose processor share is one core.
 constexpr double kWeightPerCore = 100;
 
+/// The accounts with metrics of their own; the others are summed up.
+constexpr size_t kAccountsInMetrics = 8;
+
 /// Between two summaries of each group in the log.
 constexpr auto kSummaryInterval = 10s;
 
@@ -89,8 +92,9 @@
                      mSettings.mInstance,
                      mIncarnation,
                      Now)
-  , mRouter(MakeEnvironment())
   , mPeers(mSettings.mInstance, PeerSocket::Connect, Now, Log)
+  , mQuota(MakeQuota())
+  , mRouter(MakeEnvironment())
   , mHomes(DescribeSelf(), mRouter)
   , mSharedStore(aPlatform.mStore, mPeers, DescribeSelf(), Now, Log)
   , mFleet(mSharedStore,
@@ -112,6 +116,7 @@
   , mDrainPlan(mSettings.mGracePeriod)
 {
   mLeaseController.SetRouter(mRouter);
+  mPeerServer.SetQuotaServer(mQuota.get());
   mRouter.SetRunnerFactory([this](const std::shared_ptr<RelayGroup>& aGroup) {
     return std::make_shared<ForwardingRunner>(
       aGroup, mHomes, mPeers, Now, Log, mForwardCounts);
@@ -123,6 +128,18 @@
     &mPlacementTimer, &QTimer::timeout, this, [this] { mHomes.Refresh(); });
 }
 
+std::unique_ptr<QuotaExchange>
+RelayService::MakeQuota()
+{
+  return mSettings.mQuotaTolerance
+           ? std::make_unique<QuotaExchange>(mSettings.mInstance,
+                                             *mSettings.mQuotaTolerance,
+                                             mPeers,
+                                             Now,
+                                             Log)
+           : nullptr;
+}
+
 InstanceInfo
 RelayService::DescribeSelf() const
 {
@@ -144,6 +161,9 @@
   mPeers.SetPeers(live);
   mSharedStore.SetFleet(live);
   mHomes.SetFleet(live);
+  if (mQuota) {
+    mQuota->SetFleet(live, mFleet.ListingAtStart());
+  }
   mHomes.Refresh();
   mPeerListener.AdmitPending();
 }
@@ -157,6 +177,7 @@
   environment.mFailureDomain = mSettings.mFailureDomain;
   environment.mTopology = Topology(mSettings.mRegions);
   environment.mAuthorityTimeout = mSettings.mAuthorityTimeout;
+  environment.mQuota = mQuota.get();
   environment.mAcknowledgement = mSettings.mAcknowledgement;
   environment.mLog = Log;
   environment.mObserveLatency = [](RelayLatency aKind, Duration aTime) {
@@ -288,6 +309,19 @@
   add("rerouted_total", {}, mForwardCounts.mRerouted);
   add("detours_total", {}, mForwardCounts.mDetours);
   add("served_for_peers_total", {}, mPeerServer.ServedCount());
+  if (mQuota) {
+    const auto& counts = mQuota->Counts();
+    add("quota_withdrawals_total", {}, counts.mWithdrawals);
+    add("quota_collections_total", {}, counts.mCollections);
+    add(
+      "quota_tokens_lent_total", {}, static_cast<uint64_t>(counts.mTokensLent));
+    for (const auto& it : mQuota->LargestAccounts(kAccountsInMetrics)) {
+      const auto label =
+        "{account=\"" + QByteArray::fromStdString(it.mAccount) + "\"}";
+      add("quota_admitted_total", label, it.mAdmitted);
+      add("quota_refused_total", label, it.mRefused);
+    }
+  }
   return text + Metrics::Instance().LatenciesToText();
 }
 
@@ -328,6 +362,7 @@
   mLeaseController.Tick();
   ObserveStoreEra();
   mPeers.Tick();
+  TickQuota();
   mPeerServer.Tick();
   mSharedStore.Tick();
   mCallerListener.Tick(Now());
@@ -343,6 +378,16 @@
   }
 }
 
+void
+RelayService::TickQuota()
+{
+  if (mQuota) {
+    const auto* configuration = mRouter.Configuration();
+    mQuota->Configure(configuration ? configuration->mAccounts : nullptr);
+    mQuota->Tick();
+  }
+}
+
 void
 RelayService::StartDrain()
 {
--- a/Services/Papayalined/Relay/RelayService.h
+++ b/Services/Papayalined/Relay/RelayService.h
@@ -5,6 +5,7 @@
 #include "FleetController.h"
 #include "LibConfiguration/RelaySettings.h"
 #include "LibPeer/ForwardingRunner.h"
+#include "LibPeer/QuotaExchange.h"
 #include "LibRelay/DrainPlan.h"
 #include "PeerListener.h"
 #include "PromotionLeaseController.h"
@@ -39,6 +40,7 @@
 
 private:
   RelayEnvironment MakeEnvironment();
+  std::unique_ptr<QuotaExchange> MakeQuota();
   InstanceInfo DescribeSelf() const;
   void OnFleetChanged();
   Result<Done> InstallSignalHandlers();
@@ -46,6 +48,7 @@
   bool IsReady() const;
   QByteArray FormatMetrics() const;
   void LogSummary();
+  void TickQuota();
   void Tick();
   /// Handles a restore of the store that any answer told of.
   void ObserveStoreEra();
@@ -58,8 +61,10 @@
   RelayPlatform mPlatform;
   std::string mIncarnation;
   PromotionLeaseController mLeaseController;
-  RelayRouter mRouter;
   PeerPool mPeers;
+  /// Null where quotas are not enforced.
+  std::unique_ptr<QuotaExchange> mQuota;
+  RelayRouter mRouter;
   HomeDirectory mHomes;
   SharedObjectStore mSharedStore;
   FleetController mFleet;
