--- a/Libraries/LibDecision/DecayedRate.h
+++ b/Libraries/LibDecision/DecayedRate.h
@@ -13,7 +13,7 @@
 {
 public:
   /// The time constant in seconds.
-  static constexpr double kTimeConstant = 2;
+  static constexpr double kTimeConstant = 4;
 
   void Add(double aEvents, Instant aNow)
   {
--- a/Libraries/LibDecision/QuotaBank.cpp
+++ b/Libraries/LibDecision/QuotaBank.cpp
@@ -12,9 +12,10 @@
 /// A bank that no instance asks for this long gives up its tokens: several
 /// times the interval between two requests of an instance with demand.
 constexpr Duration kIdleTime = 2s;
-/// An instance is asked again for an account after this time, or earlier when
-/// its stock is full; the shorter time applies while operations wait.
-constexpr Duration kCollectInterval = 500ms;
+/// In this time, each instance is asked once.
+constexpr Duration kRoundTime = 1s;
+/// While operations wait, an instance is asked again for an account after this
+/// time.
 constexpr Duration kUrgentInterval = 100ms;
 /// How long an account counts as limited after a refusal. Meanwhile requests
 /// are paid from the stock or refused at once.
@@ -22,7 +23,9 @@
 /// A bank keeps tokens for its payments of this time, and a few in addition for
 /// accounts with rare operations.
 constexpr double kStockTime = 0.3;
-constexpr double kMinStock = 2;
+constexpr double kMinStock = 5;
+/// Instances may give more than is expected of them.
+constexpr double kFilledPart = 0.75;
 /// The part of a token's transfer time that a request waits for collections, so
 /// that its answer arrives in time.
 constexpr int kWaitPart = 5;
@@ -202,9 +205,8 @@
 double
 QuotaBank::Target(const Account& aAccount, Instant aNow)
 {
-  // Half of the bound, since instances may give more than is expected of them.
   return std::min(aAccount.mPaid.PerSecond(aNow) * kStockTime + kMinStock,
-                  aAccount.mShares.mBankStock / 2);
+                  aAccount.mShares.mBankStock * kFilledPart);
 }
 
 bool
@@ -236,6 +238,22 @@
   return sum;
 }
 
+/// How many instances are asked now although no operation waits: all of them in
+/// each round.
+size_t
+QuotaBank::RoundVisits(Instant aNow)
+{
+  const auto time = std::min<Duration>(aNow - mVisitedAt, kRoundTime);
+  const auto n =
+    static_cast<Duration::rep>(mInstances.size()) * time / kRoundTime;
+  if (n > 0) {
+    mVisitedAt = aNow;
+  }
+  return static_cast<size_t>(n);
+}
+
+/// Every instance that is asked is asked for all accounts that lack tokens, so
+/// that the number of requests does not grow with the number of accounts.
 std::vector<QuotaBank::Collection>
 QuotaBank::TakeCollections(Instant aNow)
 {
@@ -246,52 +264,61 @@
     }
     return {};
   }
+  struct Gap
+  {
+    const std::string* mName;
+    Account* mAccount;
+    double mMissing;
+    double mUrgent;
+  };
+  std::vector<Gap> gaps;
   const auto needs = Needs();
-  std::map<size_t, Collection> collections;
-  auto next = mNextInstance;
   for (auto& [name, it] : mAccounts) {
     const auto need = needs.find(name);
-    const bool isUrgent = need != needs.end() && !IsLimited(it, aNow);
-    auto missing = Target(it, aNow) - it.mStock - it.mExpected +
-                   (isUrgent ? need->second : 0);
-    // Small gaps wait, so that each request brings more.
-    if (!isUrgent && missing < Target(it, aNow) / 4) {
+    const auto needed = need != needs.end() ? need->second : 0;
+    const auto held = it.mStock + it.mExpected;
+    const auto missing = Target(it, aNow) + needed - held;
+    if (missing > 0) {
+      const auto urgent = IsLimited(it, aNow) ? 0 : needed - held;
+      gaps.push_back({ &name, &it, missing, urgent });
+    }
+  }
+  const auto isUrgent = [](const Gap& it) { return it.mUrgent > kEpsilon; };
+  const auto visits = RoundVisits(aNow);
+  std::vector<Collection> collections;
+  for (size_t n = 0; n < mInstances.size(); ++n) {
+    const bool isInRound = n < visits;
+    if (gaps.empty() || (!isInRound && std::ranges::none_of(gaps, isUrgent))) {
+      break;
+    }
+    const auto at = (mNextInstance + n) % mInstances.size();
+    const bool isUseful =
+      isInRound || std::ranges::any_of(gaps, [&](const auto& it) {
+        return isUrgent(it) &&
+               aNow - it.mAccount->mAskedAt[at] >= kUrgentInterval;
+      });
+    if (!isUseful) {
       continue;
     }
-    const auto fillTime =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-        it.mShares.mMintPerSecond > 0
-          ? std::min(it.mShares.mMintedStock / it.mShares.mMintPerSecond, 1.0)
-          : 1.0));
-    const auto interval =
-      std::max(isUrgent ? kUrgentInterval
-                        : std::min<Duration>(kCollectInterval, fillTime),
-               kUrgentInterval);
-    for (size_t n = 0; n < mInstances.size() && missing > kEpsilon; ++n) {
-      const auto at = (mNextInstance + n) % mInstances.size();
-      if (aNow - it.mAskedAt[at] < interval) {
-        continue;
-      }
-      const auto yield = YieldOf(it, at, aNow);
-      auto& collection = collections[at];
-      collection.mDemands.push_back({ name, missing, 0 });
-      it.mAskedAt[at] = aNow;
-      it.mExpected += yield;
-      missing -= yield;
-      mPending[mLastCollection + 1 + at].mExpected[name] = yield;
-      next = std::max(next, mNextInstance + n + 1);
+    Collection collection{ ++mLastCollection, mInstances[at], {} };
+    auto& pending = mPending[collection.mId];
+    pending.mSentAt = aNow;
+    for (auto& it : gaps) {
+      const auto yield = YieldOf(*it.mAccount, at, aNow);
+      collection.mDemands.push_back({ *it.mName, it.mMissing, 0 });
+      it.mAccount->mAskedAt[at] = aNow;
+      it.mAccount->mExpected += yield;
+      pending.mExpected[*it.mName] = yield;
+      it.mMissing -= yield;
+      it.mUrgent -= yield;
     }
+    std::erase_if(gaps, [](const auto& it) { return it.mMissing <= kEpsilon; });
+    collections.push_back(std::move(collection));
   }
-  std::vector<Collection> due;
-  for (auto& [at, it] : collections) {
-    it.mId = mLastCollection + 1 + at;
-    it.mInstance = mInstances[at];
-    mPending[it.mId].mSentAt = aNow;
-    due.push_back(std::move(it));
-  }
-  mLastCollection += mInstances.size();
-  mNextInstance = mInstances.empty() ? 0 : next % mInstances.size();
-  return due;
+  mNextInstance = mInstances.empty()
+                    ? 0
+                    : (mNextInstance + collections.size()) % mInstances.size();
+  return collections;
 }
 
 /// Refuses what no instance is expected to have.
@@ -301,7 +328,8 @@
   for (const auto& [name, need] : Needs()) {
     auto& account = mAccounts.at(name);
     const bool isExpected =
-      account.mExpected > kEpsilon || Prospect(account, aNow) > kEpsilon;
+      account.mStock + account.mExpected + Prospect(account, aNow) >=
+      std::min(need, 1.0) - kEpsilon;
     if (isExpected && !IsLimited(account, aNow)) {
       continue;
     }
--- a/Libraries/LibDecision/QuotaBank.h
+++ b/Libraries/LibDecision/QuotaBank.h
@@ -116,6 +116,7 @@
     std::map<std::string, double> mExpected;
   };
 
+  size_t RoundVisits(Instant aNow);
   void Pay();
   void Deny(Instant aNow);
   void ExpireCollections(Instant aNow);
@@ -133,8 +134,10 @@
   std::vector<std::string> mInstances;
   std::list<Request> mRequests;
   std::map<uint64_t, PendingCollection> mPending;
-  /// Where the next search for an instance to ask begins.
+  /// The instance that is asked next.
   size_t mNextInstance = 0;
+  /// When an instance was last asked in its turn.
+  Instant mVisitedAt;
   uint64_t mLastCollection = 0;
   std::optional<Instant> mLastRequestAt;
 };
--- a/Libraries/LibDecision/QuotaLedger.cpp
+++ b/Libraries/LibDecision/QuotaLedger.cpp
@@ -9,8 +9,12 @@
 /// An instance keeps tokens for its demand in this many seconds: two intervals
 /// between two requests for more.
 constexpr double kStockTime = 0.5;
-/// Rounding of sums of fractions.
-constexpr double kEpsilon = 1e-6;
+/// An instance keeps one token at least, and what is lost of it while the
+/// demand falls, when it expects an operation within four seconds.
+constexpr double kMinTarget = 1.2;
+constexpr double kMinDemand = 0.25;
+/// Rounding of sums of fractions, which pass between instances as millionths.
+constexpr double kEpsilon = 1e-5;
 
 }
 
@@ -24,8 +28,10 @@
 double
 QuotaLedger::Target(const Account& aAccount, Instant aNow)
 {
-  return std::min(aAccount.mDemand.PerSecond(aNow) * kStockTime,
-                  Bound(aAccount, aNow));
+  const auto demand = aAccount.mDemand.PerSecond(aNow);
+  const auto wanted =
+    demand >= kMinDemand ? std::max(demand * kStockTime, kMinTarget) : 0;
+  return std::min(wanted, Bound(aAccount, aNow));
 }
 
 void
@@ -115,8 +121,10 @@
   }
   auto& account = it->second;
   Mint(account, aNow);
-  const auto given =
-    std::clamp(account.mStock - Target(account, aNow), 0.0, aWanted);
+  // Less than one token admits nothing here, but may elsewhere.
+  const auto target = Target(account, aNow);
+  const auto kept = target >= 1 ? target : 0;
+  const auto given = std::clamp(account.mStock - kept, 0.0, aWanted);
   account.mStock -= given;
   return given;
 }
@@ -145,7 +153,7 @@
     Mint(it, aNow);
     const auto target = Target(it, aNow);
     // A stock below one token admits nothing.
-    if (target >= 1 && it.mStock < target / 2) {
+    if (target >= 1 && it.mStock < std::max(target / 2, 1.0)) {
       shortfalls.push_back({ name, target - it.mStock });
     }
   }
--- a/Libraries/LibDecision/QuotaShares.cpp
+++ b/Libraries/LibDecision/QuotaShares.cpp
@@ -17,10 +17,11 @@
 constexpr double kUncountedPart = 0.125;
 /// The part of the burst that instances keep without demand. The rest is the
 /// working stock of those with demand.
-constexpr double kMintedPart = 0.6;
-/// The hoard beyond the burst is divided between the working stock and the
-/// banks, of which two exist while a failed one is replaced.
-constexpr double kParts = 3;
+constexpr double kMintedPart = 0.5;
+/// The hoard beyond the burst is divided between two banks, which exist while a
+/// failed one is replaced, and the working stock.
+constexpr double kBankPart = 0.35;
+constexpr double kWorkingPart = 1 - 2 * kBankPart;
 /// Bound of the times when the tolerance allows none.
 constexpr Duration kMinTime = std::chrono::milliseconds(20);
 
@@ -66,8 +67,8 @@
   const auto reserve = std::max(hoard - burst * counted, 0.0);
   shares.mMintPerSecond = rate / n;
   shares.mMintedStock = kMintedPart * burst / n;
-  shares.mWorkingStock = (1 - kMintedPart) * burst + reserve / kParts;
-  shares.mBankStock = reserve / kParts;
+  shares.mWorkingStock = (1 - kMintedPart) * burst + kWorkingPart * reserve;
+  shares.mBankStock = kBankPart * reserve;
   shares.mMaxRate =
     rate * counted * (1 + onTheWay / DecayedRate::kTimeConstant) +
     std::max(hoard, burst) / DecayedRate::kTimeConstant;
--- a/Libraries/LibPeer/PeerMessages.cpp
+++ b/Libraries/LibPeer/PeerMessages.cpp
@@ -8,15 +8,16 @@
 #include <QtEndian>
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace papayaline {
 
 namespace {
 
 constexpr int64_t kMaxRank = 1'000'000;
-constexpr double kTokenParts = 1000;
-/// In thousandths: the largest quota of a configuration.
-constexpr int64_t kMaxTokens = 1'000'000'000'000;
+constexpr double kTokenParts = 1'000'000;
+/// In millionths: the largest quota of a configuration.
+constexpr int64_t kMaxTokens = 1'000'000'000'000'000;
 
 /// Reads the items of a JSON array in order. IsValid tells whether all items
 /// that were read exist and have the expected type.
@@ -470,7 +471,9 @@
   for (const auto& it : aMessage.mDemands) {
     demands.append(FromText(it.mAccount));
     demands.append(FromTokens(it.mWanted));
-    demands.append(FromTokens(it.mNeeded));
+    // Rounded up, so that what is paid suffices.
+    demands.append(
+      FromTokens(std::ceil(it.mNeeded * kTokenParts) / kTokenParts));
   }
   return { FromNumber(aMessage.mCall),
            FromChoice(aMessage.mPurpose),
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -139,7 +139,7 @@
   Collect,
 };
 
-/// Requests tokens of accounts. On the wire, tokens are thousandths. Sent to
+/// Requests tokens of accounts. On the wire, tokens are millionths. Sent to
 /// instances of feature level 1 or higher.
 struct QuotaRequest
 {
--- a/Libraries/LibPeer/QuotaExchange.cpp
+++ b/Libraries/LibPeer/QuotaExchange.cpp
@@ -16,6 +16,9 @@
 /// The part of a token's transfer time after which the next bank is asked. More
 /// than a bank waits for its collections.
 constexpr double kAttemptPart = 0.4;
+/// The part of a stock that is still there when the answer arrives, since the
+/// bound of a stock falls with the demand.
+constexpr double kLastingPart = 0.9;
 /// How long a bank that did not answer is passed over.
 constexpr Duration kSuspicionTime = 300ms;
 /// An account stops counting as limited after this time without a refusal.
@@ -215,7 +218,8 @@
     const auto waiting =
       static_cast<double>(mAccounts.at(aUrgentAccount).mWaiting.size());
     const auto needed =
-      std::max(waiting - mLedger.Stock(aUrgentAccount, now), 0.0);
+      std::max(
+        waiting - kLastingPart * mLedger.Stock(aUrgentAccount, now), 0.0);
     demands.push_back({ aUrgentAccount,
                         needed + mLedger.ShortfallOf(aUrgentAccount, now),
                         needed });
