--- a/Libraries/LibDecision/QuotaShares.cpp
+++ b/Libraries/LibDecision/QuotaShares.cpp
@@ -19,9 +19,10 @@
 /// working stock of those with demand.
 constexpr double kMintedPart = 0.5;
 /// The hoard beyond the burst is divided between two banks, which exist while a
-/// failed one is replaced, and the working stock.
+/// failed one is replaced, the instances without and those with demand.
 constexpr double kBankPart = 0.35;
-constexpr double kWorkingPart = 1 - 2 * kBankPart;
+constexpr double kReservePart = 0.15;
+constexpr double kWorkingPart = 1 - 2 * kBankPart - kReservePart;
 /// Bound of the times when the tolerance allows none.
 constexpr Duration kMinTime = std::chrono::milliseconds(20);
 
@@ -64,9 +65,10 @@
   const auto bound =
     (rate * window + burst) * (1 + aTerms.mExcess) + aTerms.mSlack;
   const auto hoard = bound - (window + onTheWay) * rate * counted;
-  const auto reserve = std::max(hoard - burst * counted, 0.0);
+  const auto reserve = std::max(hoard / counted - burst, 0.0);
   shares.mMintPerSecond = rate / n;
-  shares.mMintedStock = kMintedPart * burst / n;
+  shares.mMintedStock =
+    (kMintedPart * burst + kReservePart * reserve) / n;
   shares.mWorkingStock = (1 - kMintedPart) * burst + kWorkingPart * reserve;
   shares.mBankStock = kBankPart * reserve;
   shares.mMaxRate =
--- a/Tests/LibPeer/QuotaWorld.cpp
+++ b/Tests/LibPeer/QuotaWorld.cpp
@@ -134,7 +134,7 @@
   if (from.mIsCut || to.mIsCut || !to.mIsAlive || Random() < mLossRate) {
     return;
   }
-  ++mMessages;
+  mMessages += std::holds_alternative<PeerHello>(aMessage) ? 0 : 1;
   const auto bytes = EncodePeerMessage(aMessage);
   const int copies = Random() < mRepeatRate ? 2 : 1;
   for (int n = 0; n < copies; ++n) {
@@ -166,12 +166,14 @@
     });
   } else if (!mInstances[aFrom].mIsCut && !to.mIsCut) {
     Schedule(link->mTo, 1ms, [this, link] {
-      Schedule(link->mFrom, 1ms, [link] {
+      Schedule(link->mFrom, 1ms, [this, link] {
         if (const auto onOpened = link->mEvents.mOnOpened) {
           onOpened();
         }
         if (const auto onMessage = link->mEvents.mOnMessage) {
-          onMessage(PeerHello{});
+          PeerHello hello;
+          hello.mFeatureLevel = mFeatureLevel;
+          onMessage(hello);
         }
       });
     });
--- a/Tests/LibPeer/QuotaWorld.h
+++ b/Tests/LibPeer/QuotaWorld.h
@@ -83,7 +83,8 @@
   double mRepeatRate = 0;
   double mDelayRate = 0;
   Duration mMaxDelay = std::chrono::seconds(3);
-  Instant Now() const { return mNow; }
+  /// What instances send with their hello.
+  int mFeatureLevel = PeerHello::kFeatureLevel;
 
 private:
   class Channel;
