--- a/Libraries/LibDecision/QuotaBank.cpp
+++ b/Libraries/LibDecision/QuotaBank.cpp
@@ -51,6 +51,11 @@
 {
   std::erase_if(mAccounts,
                 [&](const auto& it) { return !aShares.contains(it.first); });
+  for (auto& request : mRequests) {
+    for (auto& it : request.mItems) {
+      it.mNeeded = aShares.contains(it.mPayout.mAccount) ? it.mNeeded : 0;
+    }
+  }
   for (const auto& [name, shares] : aShares) {
     auto& account = mAccounts[name];
     account.mShares = shares;
@@ -216,7 +221,7 @@
 QuotaBank::IsLimited(const Account& aAccount, Instant aNow)
 {
   return aAccount.mDeniedAt && aNow - *aAccount.mDeniedAt < kLimitedTime &&
-         aAccount.mStock < Target(aAccount, aNow) / 2;
+         aAccount.mStock < Target(aAccount, aNow);
 }
 
 /// What an instance is expected to give if it has no demand.
--- a/Libraries/LibDecision/QuotaShares.cpp
+++ b/Libraries/LibDecision/QuotaShares.cpp
@@ -20,8 +20,8 @@
 constexpr double kMintedPart = 0.5;
 /// The hoard beyond the burst is divided between two banks, which exist while a
 /// failed one is replaced, the instances without and those with demand.
-constexpr double kBankPart = 0.35;
-constexpr double kReservePart = 0.15;
+constexpr double kBankPart = 0.3;
+constexpr double kReservePart = 0.3;
 constexpr double kWorkingPart = 1 - 2 * kBankPart - kReservePart;
 /// Bound of the times when the tolerance allows none.
 constexpr Duration kMinTime = std::chrono::milliseconds(20);
--- a/Tests/LibPeer/TestQuotaExchange.cpp
+++ b/Tests/LibPeer/TestQuotaExchange.cpp
@@ -104,7 +104,6 @@
     const auto before = RefusedOfAll(world);
     world.Kill(world.FirstBank(), aDeath);
     world.Run(5s);
-    for (auto& it : world.mLoads) if (world.Refused(it.mAccount)) printf("%s %zu\n", it.mAccount.c_str(), world.Refused(it.mAccount));
     CPPUNIT_ASSERT_EQUAL(before, RefusedOfAll(world));
     world.CheckBounds();
   }
