--- a/Libraries/LibDecision/QuotaBank.cpp
+++ b/Libraries/LibDecision/QuotaBank.cpp
@@ -371,7 +371,7 @@
     auto& account = mAccounts.at(name);
     const bool isExpected =
       account.mStock + account.mExpected + Prospect(account, aNow) >=
-      std::min(need, 1.0) - kEpsilon;
+      need - kEpsilon;
     if (!IsShort(account, isExpected, aNow)) {
       continue;
     }
