--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -24,6 +24,9 @@
 /// Bounds how late a change of a group's databases changes its home instances.
 constexpr auto kPlacementInterval = 200ms;
 
+/// The accounts with metrics of their own; the others are summed up.
+constexpr size_t kAccountsInMetrics = 8;
+
 /// Between two summaries of each group in the log.
 constexpr auto kSummaryInterval = 10s;
 
@@ -91,8 +94,9 @@
                      mSettings.mInstance,
                      mIncarnation,
                      Now)
-  , mRouter(MakeEnvironment())
   , mPeers(mSettings.mInstance, PeerSocket::Connect, Now, Log)
+  , mQuota(MakeQuota())
+  , mRouter(MakeEnvironment())
   , mHomes(DescribeSelf(), mRouter, Topology(mSettings.mRegions))
   , mSharedStore(aPlatform.mStore, mPeers, DescribeSelf(), Now, Log)
   , mFleet(mSharedStore,
@@ -114,6 +118,7 @@
   , mDrainPlan(mSettings.mGracePeriod)
 {
   mLeaseController.SetRouter(mRouter);
+  mPeerServer.SetQuotaServer(mQuota.get());
   mRouter.SetRunnerFactory([this](const std::shared_ptr<RelayGroup>& aGroup) {
     return std::make_shared<ForwardingRunner>(
       aGroup, mHomes, mPeers, Now, Log, mForwardCounts);
@@ -125,6 +130,18 @@
     &mPlacementTimer, &QTimer::timeout, this, [this] { mHomes.Refresh(); });
 }
 
+std::unique_ptr<QuotaExchange>
+RelayService::MakeQuota()
+{
+  return mSettings.mQuotaTolerance
+           ? std::make_unique<QuotaExchange>(mSettings.mInstance,
+                                             *mSettings.mQuotaTolerance,
+                                             mPeers,
+                                             Now,
+                                             Log)
+           : nullptr;
+}
+
 InstanceInfo
 RelayService::DescribeSelf() const
 {
@@ -145,6 +162,9 @@
   mPeers.SetPeers(live);
   mSharedStore.SetFleet(live);
   mHomes.SetFleet(live);
+  if (mQuota) {
+    mQuota->SetFleet(live, mFleet.ListingAtStart());
+  }
   mHomes.Refresh();
   mPeerListener.AdmitPending();
 }
@@ -158,6 +178,7 @@
   environment.mFailureDomain = mSettings.mFailureDomain;
   environment.mTopology = Topology(mSettings.mRegions);
   environment.mAuthorityTimeout = mSettings.mAuthorityTimeout;
+  environment.mQuota = mQuota.get();
   environment.mAcknowledgement = mSettings.mAcknowledgement;
   environment.mLog = Log;
   environment.mObserveLatency = [](RelayLatency aKind, Duration aTime) {
@@ -301,6 +322,19 @@
   add("moved_for_wait_total", {}, mForwardCounts.mMovedForWait);
   add("entry_refused_for_wait_total", {}, mForwardCounts.mRefusedForWait);
   add("served_for_peers_total", {}, mPeerServer.ServedCount());
+  if (mQuota) {
+    const auto& counts = mQuota->Counts();
+    add("quota_withdrawals_total", {}, counts.mWithdrawals);
+    add("quota_collections_total", {}, counts.mCollections);
+    add(
+      "quota_tokens_lent_total", {}, static_cast<uint64_t>(counts.mTokensLent));
+    for (const auto& it : mQuota->LargestAccounts(kAccountsInMetrics)) {
+      const auto label =
+        "{account=\"" + QByteArray::fromStdString(it.mAccount) + "\"}";
+      add("quota_admitted_total", label, it.mAdmitted);
+      add("quota_refused_total", label, it.mRefused);
+    }
+  }
   return text + Metrics::Instance().LatenciesToText();
 }
 
@@ -341,6 +375,7 @@
   mLeaseController.Tick();
   ObserveStoreEra();
   mPeers.Tick();
+  TickQuota();
   mPeerServer.Tick();
   mSharedStore.Tick();
   mCallerListener.Tick(Now());
@@ -356,6 +391,16 @@
   }
 }
 
+void
+RelayService::TickQuota()
+{
+  if (mQuota) {
+    const auto* configuration = mRouter.Configuration();
+    mQuota->Configure(configuration ? configuration->mAccounts : nullptr);
+    mQuota->Tick();
+  }
+}
+
 void
 RelayService::StartDrain()
 {
