--- a/Tests/LibPeer/TestPeerMessages.cpp
+++ b/Tests/LibPeer/TestPeerMessages.cpp
@@ -75,7 +75,10 @@
              PeerPong{},
              PeerLeaving{},
              WatchObjects{ 9, "config", { 2, 11 }, 1s, 3s },
-             objects };
+             objects,
+             QuotaRequest{
+               10, QuotaPurpose::Collect, 81, { { "account", 2.5, 0.25 } } },
+             QuotaAnswer{ 10, 81, { { "account", 1.125, 150ms } } } };
   }
 
 public:
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -84,8 +84,10 @@
   TransactionState mState = TransactionState::None;
 };
 
-FakeUpstreams::FakeUpstreams(Acknowledgement aAcknowledgement)
+FakeUpstreams::FakeUpstreams(Acknowledgement aAcknowledgement,
+                             QuotaGate* aQuota)
   : mAcknowledgement(aAcknowledgement)
+  , mQuota(aQuota)
   , mRouter(std::make_unique<RelayRouter>(MakeEnvironment()))
 {
   AddMember("a", Role::Primary);
@@ -112,6 +114,7 @@
   environment.mMakeProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d1";
   environment.mAcknowledgement = mAcknowledgement;
+  environment.mQuota = mQuota;
   environment.mLeaseGrant = [this] {
     return mGrant && mNow < mGrant->mValidUntil ? mGrant : std::nullopt;
   };
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -49,7 +49,8 @@
   };
 
   explicit FakeUpstreams(
-    Acknowledgement aAcknowledgement = Acknowledgement::Majority);
+    Acknowledgement aAcknowledgement = Acknowledgement::Majority,
+    QuotaGate* aQuota = nullptr);
   ~FakeUpstreams();
 
   Database& At(const std::string& aName) { return mDatabases.at(aName); }
@@ -134,6 +135,7 @@
                std::function<void(ChannelEvents&)> aDeliver);
 
   Acknowledgement mAcknowledgement;
+  QuotaGate* mQuota;
   Instant mNow = Instant(std::chrono::hours(1));
   Instant mNextTick = mNow;
   std::map<std::string, Database> mDatabases;
