LibPeer, LibRelay: Limit the age of the configuration as an authority

Cause: nothing told the router that the store confirmed the configuration, so where the settings limit that age nothing ran; ages of forwarded statements did not count the time on the way.

Change: the shared store reports confirmations, counted from the sending of the call. Watches between instances carry the known age and are answered as soon as the receiver knows a newer confirmation; answers tell the age, which adds up. An instance whose confirmation is half as old as allowed asks further instances. Forwarded statements carry the confirmation on the receiver's clock, by a lower bound of the difference of the clocks. An instance without authority refuses at once, is not ready, and logs authority.lost and authority.regained.

--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -42,11 +42,8 @@
   statement.mPreparedQuery = aRequest.mPreparedQuery;
   statement.mAccount = aRequest.mAuthority.mAccount;
   statement.mAccountRank = aRequest.mAuthority.mAccountRank;
-  if (const auto confirmedAt = aRequest.mAuthority.mConfirmedAt) {
-    // Rounded up, since an older authority allows less.
-    statement.mAuthorityAge =
-      std::chrono::ceil<Milliseconds>(aNow - *confirmedAt);
-  }
+  // On this instance's clock; PeerPool converts it.
+  statement.mConfirmedAt = aRequest.mAuthority.mConfirmedAt;
   return statement;
 }
 
--- a/Libraries/LibPeer/ObjectMirror.cpp
+++ b/Libraries/LibPeer/ObjectMirror.cpp
@@ -52,6 +52,7 @@
   for (const auto& it : aBatch.mObjects) {
     mObjects[it.mName] = it;
   }
+  mIsComplete = true;
   AdvanceTo(aBatch.mStoreRevision, aNow);
 }
 
--- a/Libraries/LibPeer/ObjectMirror.h
+++ b/Libraries/LibPeer/ObjectMirror.h
@@ -30,6 +30,8 @@
   /// Whether the last update succeeded and is no older than aMaxAge.
   bool IsCurrent(Instant aNow, Duration aMaxAge) const;
   StoreRevision Revision() const { return mRevision; }
+  /// Whether a list was applied, so that no object is missing.
+  bool IsComplete() const { return mIsComplete; }
   /// The changes after a revision, or nothing when tombstones after it have
   /// been discarded, or when it belongs to a later era than the mirror. All
   /// objects count as changed after revision 0. The batch after a revision of
@@ -47,6 +49,7 @@
   /// Tombstones up to this revision have been discarded.
   StoreRevision mCompactedRevision;
   StoreRevision mRevision;
+  bool mIsComplete = false;
   bool mLastUpdateSucceeded = false;
   Instant mConfirmedAt;
 };
--- a/Libraries/LibPeer/PeerMessages.cpp
+++ b/Libraries/LibPeer/PeerMessages.cpp
@@ -139,6 +139,41 @@
   return aReader.Optional([](ArrayReader& it) { return it.Time(); });
 }
 
+/// An optional instant is an array of the milliseconds of its clock, or null.
+/// Rounded down: all that is sent counts as older than it is.
+QJsonValue
+FromOptionalInstant(const std::optional<Instant>& aInstant)
+{
+  return aInstant
+           ? QJsonValue(QJsonArray{ FromTime(std::chrono::floor<Milliseconds>(
+               aInstant->time_since_epoch())) })
+           : QJsonValue();
+}
+
+/// A time that may be negative.
+Milliseconds
+ReadSignedTime(ArrayReader& aReader)
+{
+  // About thirty years, so that sums stay in the range of an instant.
+  constexpr int64_t kMaxMs = 1'000'000'000'000;
+  return Milliseconds(aReader.Integer(-kMaxMs, kMaxMs));
+}
+
+std::optional<Instant>
+ReadOptionalInstant(ArrayReader& aReader)
+{
+  return aReader.Optional(
+    [](ArrayReader& it) { return Instant(ReadSignedTime(it)); });
+}
+
+/// Reads an instant at the end of a message. Instances of an older version send
+/// none.
+std::optional<Instant>
+ReadLastInstant(ArrayReader& aReader)
+{
+  return aReader.IsAtEnd() ? std::nullopt : ReadOptionalInstant(aReader);
+}
+
 QJsonValue
 FromPosition(const std::optional<LogPosition>& aPosition)
 {
@@ -209,7 +244,8 @@
 {
   return { aMessage.mVersion,
            FromText(aMessage.mInstance),
-           aMessage.mFeatureLevel };
+           aMessage.mFeatureLevel,
+           FromOptionalInstant(aMessage.mClock) };
 }
 
 bool
@@ -220,6 +256,7 @@
   // Instances of an older version send no feature level.
   aMessage.mFeatureLevel =
     aReader.IsAtEnd() ? 0 : static_cast<int>(aReader.Integer(0, 1'000'000));
+  aMessage.mClock = ReadLastInstant(aReader);
   return aReader.IsValid();
 }
 
@@ -253,7 +290,7 @@
            query,
            FromText(aMessage.mAccount),
            static_cast<int>(aMessage.mAccountRank),
-           FromOptionalTime(aMessage.mAuthorityAge) };
+           FromOptionalInstant(aMessage.mConfirmedAt) };
 }
 
 bool
@@ -286,7 +323,7 @@
   if (!aReader.IsAtEnd()) {
     aMessage.mAccount = aReader.Text();
     aMessage.mAccountRank = static_cast<unsigned>(aReader.Integer(0, kMaxRank));
-    aMessage.mAuthorityAge = ReadOptionalTime(aReader);
+    aMessage.mConfirmedAt = ReadOptionalInstant(aReader);
   }
   return aReader.IsValid();
 }
@@ -310,7 +347,8 @@
            error,
            FromChoice(answer.mTransactionState),
            FromPosition(answer.mPosition),
-           FromLoad(aMessage.mLoad) };
+           FromLoad(aMessage.mLoad),
+           FromOptionalInstant(aMessage.mClock) };
 }
 
 bool
@@ -334,6 +372,20 @@
   if (!aReader.IsAtEnd()) {
     aMessage.mLoad = ReadLoad(aReader);
   }
+  aMessage.mClock = ReadLastInstant(aReader);
+  return aReader.IsValid();
+}
+
+QJsonArray
+ToArray(const PeerPong& aMessage)
+{
+  return { FromOptionalInstant(aMessage.mClock) };
+}
+
+bool
+Read(ArrayReader& aReader, PeerPong& aMessage)
+{
+  aMessage.mClock = ReadLastInstant(aReader);
   return aReader.IsValid();
 }
 
@@ -391,7 +443,8 @@
            FromRevisionNumber(aMessage.mAfterRevision),
            FromTime(aMessage.mMaxWait),
            FromTime(aMessage.mMaxAge),
-           FromNumber(aMessage.mAfterRevision.mEra) };
+           FromNumber(aMessage.mAfterRevision.mEra),
+           FromOptionalTime(aMessage.mKnownAge) };
 }
 
 bool
@@ -403,6 +456,9 @@
   aMessage.mMaxWait = aReader.Time();
   aMessage.mMaxAge = aReader.Time();
   aMessage.mAfterRevision.mEra = ReadLastEra(aReader);
+  if (!aReader.IsAtEnd()) {
+    aMessage.mKnownAge = ReadOptionalTime(aReader);
+  }
   return aReader.IsValid();
 }
 
@@ -418,7 +474,8 @@
            aMessage.mIsUnavailable,
            FromRevisionNumber(aMessage.mBatch.mStoreRevision),
            objects,
-           FromNumber(aMessage.mBatch.mStoreRevision.mEra) };
+           FromNumber(aMessage.mBatch.mStoreRevision.mEra),
+           FromOptionalTime(aMessage.mConfirmedAfter) };
 }
 
 bool
@@ -441,6 +498,9 @@
   });
   aReader.MergeValidity(objects);
   batch.mStoreRevision.mEra = ReadLastEra(aReader);
+  if (!aReader.IsAtEnd()) {
+    aMessage.mConfirmedAfter = aReader.Optional(ReadSignedTime);
+  }
   std::ranges::for_each(batch.mObjects, [&](auto& it) {
     it.mRevision.mEra = batch.mStoreRevision.mEra;
   });
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/GroupLoad.h"
+#include "LibDecision/Instant.h"
 #include "LibPlatform/ObjectStore.h"
 #include "LibRelay/RelayRequest.h"
 
@@ -24,6 +25,9 @@
   std::string mInstance;
   /// 0 from an instance that sends none.
   int mFeatureLevel = kFeatureLevel;
+  /// The sender's clock when it sent the message; unset from an instance that
+  /// sends none.
+  std::optional<Instant> mClock;
 
   bool operator==(const PeerHello&) const = default;
 };
@@ -50,9 +54,11 @@
   /// The client account; empty for none, and from an instance that sends none.
   std::string mAccount;
   unsigned mAccountRank = 0;
-  /// Time since the store confirmed the configuration that allows the
-  /// statement; unset where that time is not limited.
-  std::optional<Milliseconds> mAuthorityAge;
+  /// When the store confirmed the configuration that allows the statement, at
+  /// the earliest, on the receiver's clock: so time on the way counts, also
+  /// while the receiver is frozen. Unset where the age is not limited, and
+  /// while the receiver's clock is unknown.
+  std::optional<Instant> mConfirmedAt;
 
   bool operator==(const ForwardStatement&) const = default;
 };
@@ -69,6 +75,8 @@
   /// The load of the group at the answering instance; unset when it is not
   /// known.
   std::optional<GroupLoad> mLoad;
+  /// As in PeerHello.
+  std::optional<Instant> mClock;
 
   bool operator==(const ForwardAnswer&) const = default;
 };
@@ -96,6 +104,9 @@
 };
 struct PeerPong
 {
+  /// As in PeerHello.
+  std::optional<Instant> mClock;
+
   bool operator==(const PeerPong&) const = default;
 };
 /// The sender is shutting down. It still completes the statements and
@@ -115,6 +126,10 @@
   Milliseconds mMaxWait{ 0 };
   /// The maximum age of the answer, counted from when the store confirmed it.
   Milliseconds mMaxAge{ 0 };
+  /// How long ago the store confirmed the objects that the sender knows. Set
+  /// where that age is limited: then the watch is also answered, without
+  /// changes, as soon as the receiver knows a considerably newer confirmation.
+  std::optional<Milliseconds> mKnownAge;
 
   bool operator==(const WatchObjects&) const = default;
 };
@@ -126,6 +141,11 @@
   /// The instance does not know the current state of the store.
   bool mIsUnavailable = false;
   ObjectBatch mBatch;
+  /// How long after the arrival of the watch the store confirmed the batch, at
+  /// the earliest; negative when before. The sender of the watch adds it to the
+  /// time of sending, so ages add up from instance to instance. Unset when the
+  /// watch tells no known age.
+  std::optional<Milliseconds> mConfirmedAfter;
 
   bool operator==(const ObjectsAnswer&) const = default;
 };
--- a/Libraries/LibPeer/PeerPool.cpp
+++ b/Libraries/LibPeer/PeerPool.cpp
@@ -93,6 +93,7 @@
   aPeer.mIsOpen = false;
   aPeer.mOpenedAt = mLastTick.mRunTime;
   aPeer.mIsPinged = false;
+  aPeer.mClockOffset = {};
   const auto isCurrent = [this, aName, connection] {
     const auto it = mPeers.find(aName);
     return it != mPeers.end() && it->second.mConnection == connection;
@@ -126,7 +127,7 @@
   aCall.mStartedAt = mLastTick.mRunTime;
   if (aPeer.mIsOpen) {
     aPeer.mCalls[aCallId] = std::move(aCall);
-    aPeer.mChannel->Send(aMessage);
+    Send(aPeer, std::move(aMessage));
   } else {
     aCall.mUnsent = { std::move(aMessage), mClock() };
     aPeer.mCalls[aCallId] = std::move(aCall);
@@ -216,7 +217,27 @@
     }
     auto unsent = *std::exchange(it.mUnsent, std::nullopt);
     AddToAges(unsent.mMessage, now - unsent.mQueuedAt);
-    aPeer.mChannel->Send(unsent.mMessage);
+    Send(aPeer, std::move(unsent.mMessage));
+  }
+}
+
+/// Sends a message whose instants are on this instance's clock.
+void
+PeerPool::Send(Peer& aPeer, PeerMessage aMessage) const
+{
+  if (auto* statement = std::get_if<ForwardStatement>(&aMessage);
+      statement && statement->mConfirmedAt) {
+    statement->mConfirmedAt =
+      aPeer.mClockOffset.ToPeerTime(*statement->mConfirmedAt, mClock());
+  }
+  aPeer.mChannel->Send(aMessage);
+}
+
+void
+PeerPool::ObserveClock(Peer& aPeer, const std::optional<Instant>& aClock) const
+{
+  if (aClock) {
+    aPeer.mClockOffset.Observe(*aClock, mClock());
   }
 }
 
@@ -230,18 +251,25 @@
     mLog("peer.regained", { { "peer", aPeer } });
     peer.mConsecutiveFailures = 0;
   }
-  std::visit(Overloaded{ [&](const PeerHello&) { OnHello(peer); },
-                         [&](const ForwardAnswer& it) { OnAnswer(peer, it); },
-                         [&](const ObjectsAnswer& it) { OnObjects(peer, it); },
-                         [&](const PeerLeaving&) {
-                           mLog("peer.leaving", { { "peer", aPeer } });
-                           peer.mIsLeaving = true;
-                         },
-                         // A pong needs no action beyond updating
-                         // mLastReceivedAt. Messages that only the connecting
-                         // side sends are ignored.
-                         [](const auto&) {} },
-             aMessage);
+  std::visit(
+    Overloaded{ [&](const PeerHello& it) {
+                 ObserveClock(peer, it.mClock);
+                 OnHello(peer);
+               },
+                [&](const ForwardAnswer& it) {
+                  ObserveClock(peer, it.mClock);
+                  OnAnswer(peer, it);
+                },
+                [&](const PeerPong& it) { ObserveClock(peer, it.mClock); },
+                [&](const ObjectsAnswer& it) { OnObjects(peer, it); },
+                [&](const PeerLeaving&) {
+                  mLog("peer.leaving", { { "peer", aPeer } });
+                  peer.mIsLeaving = true;
+                },
+                // Messages that only the connecting side sends are
+                // ignored.
+                [](const auto&) {} },
+    aMessage);
 }
 
 void
--- a/Libraries/LibPeer/PeerPool.h
+++ b/Libraries/LibPeer/PeerPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDecision/ClockOffset.h"
 #include "LibDecision/Placement.h"
 #include "LibPeer/PeerChannel.h"
 
@@ -85,8 +86,9 @@
 
   /// Forwards a statement and returns a call id for Cancel. The handler is
   /// called once, after Forward has returned, unless the call is cancelled.
-  /// ForwardStatement::mCall is assigned here. Precondition: the peer is
-  /// usable.
+  /// ForwardStatement::mCall is assigned here, and mConfirmedAt, which is on
+  /// this instance's clock, is converted to the peer's. Precondition: the peer
+  /// is usable.
   uint64_t Forward(const std::string& aPeer,
                    ForwardStatement aStatement,
                    ForwardHandler aHandler);
@@ -149,6 +151,8 @@
     bool mIsPinged = false;
     Instant mRetryAt;
     unsigned mConsecutiveFailures = 0;
+    /// Of the present connection.
+    ClockOffset mClockOffset;
     /// By call id, which is the order in which they are sent.
     std::map<uint64_t, Call> mCalls;
     std::set<uint64_t> mTransactions;
@@ -162,6 +166,8 @@
                  Call aCall,
                  PeerMessage aMessage);
   void Open(const std::string& aName, Peer& aPeer);
+  void Send(Peer& aPeer, PeerMessage aMessage) const;
+  void ObserveClock(Peer& aPeer, const std::optional<Instant>& aClock) const;
   void OnHello(Peer& aPeer);
   void OnMessage(const std::string& aPeer, const PeerMessage& aMessage);
   void OnAnswer(Peer& aPeer, const ForwardAnswer& aAnswer);
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -66,7 +66,7 @@
         return Done{};
       },
       [&](const PeerPing&) -> Result<Done> {
-        mSend(PeerPong{});
+        mSend(PeerPong{ mServer.mClock() });
         return Done{};
       },
       [&](const WatchObjects& it) -> Result<Done> {
@@ -103,9 +103,7 @@
   request.mRoute = aStatement.mRoute;
   request.mAuthority.mAccount = aStatement.mAccount;
   request.mAuthority.mAccountRank = aStatement.mAccountRank;
-  if (aStatement.mAuthorityAge) {
-    request.mAuthority.mConfirmedAt = now - *aStatement.mAuthorityAge;
-  }
+  request.mAuthority.mConfirmedAt = aStatement.mConfirmedAt;
   request.mAccess = aStatement.mAccess;
   request.mMode = aStatement.mMode;
   request.mStartedAt = now - aStatement.mStartedAgo;
@@ -167,6 +165,7 @@
   ForwardAnswer answer;
   answer.mCall = aCall;
   answer.mAnswer = aOutcome.mAnswer;
+  answer.mClock = mServer.mClock();
   if (aOutcome.mTransaction) {
     answer.mTransaction =
       call.mTransaction != 0 ? call.mTransaction : ++mLastTransaction;
@@ -229,7 +228,8 @@
 PeerServer::Accept(Sender aSend)
 {
   auto session = std::make_shared<Session>(*this, std::move(aSend));
-  session->mSend(PeerHello{ PeerHello::kVersion, mInstance });
+  session->mSend(PeerHello{
+    PeerHello::kVersion, mInstance, PeerHello::kFeatureLevel, mClock() });
   if (mIsLeaving) {
     session->mSend(PeerLeaving{});
   }
--- a/Libraries/LibPeer/SharedObjectStore.h
+++ b/Libraries/LibPeer/SharedObjectStore.h
@@ -46,6 +46,15 @@
              int aWaitMs,
              BatchHandler aHandler) override;
 
+  using ConfirmationHandler = std::function<void(Instant)>;
+  /// Limits the age of the objects of one kind: this instance then asks other
+  /// instances for newer confirmations too. aOnConfirmed receives the time at
+  /// or after which the store confirmed, directly or through other instances,
+  /// all objects that were passed on so far. Precondition: not called before.
+  void LimitAge(const QString& aKind,
+                Duration aLimit,
+                ConfirmationHandler aOnConfirmed);
+
   /// Answers the watch of another instance. aRespond is called once, possibly
   /// before ServeWatch returns.
   void ServeWatch(const WatchObjects& aWatch, ObjectsResponder aRespond);
@@ -56,6 +65,7 @@
   struct PendingWatch
   {
     WatchObjects mWatch;
+    Instant mArrivedAt;
     Instant mDeadline;
     ObjectsResponder mRespond;
   };
@@ -67,6 +77,24 @@
     bool mIsFromStore = false;
     std::string mSource;
     std::vector<PendingWatch> mPendingWatches;
+    /// When the store confirmed the mirror, at the earliest.
+    std::optional<Instant> mConfirmedAt;
+    /// The revision of the last watch here: changes up to it were passed on.
+    /// Unset while the objects are listed.
+    std::optional<StoreRevision> mWatchedRevision;
+    /// Whether the last answer of the store held changes.
+    bool mHasChanged = true;
+  };
+  /// The kind whose age is limited.
+  struct AgeLimit
+  {
+    QString mKind;
+    Duration mLimit;
+    ConfirmationHandler mOnConfirmed;
+    bool mIsAsking = false;
+    Instant mNextAskAt;
+    /// Turns through the sources.
+    size_t mAskCount = 0;
   };
 
   bool HasObjects(const Result<ObjectsAnswer>& aAnswer, uint64_t aMinEra);
@@ -89,15 +117,39 @@
                   const BatchHandler& aHandler);
   std::vector<std::string> SourcesByPreference() const;
   void SetSource(const QString& aKind, const std::string& aSource);
-  ObjectsAnswer MakeAnswer(const Kind& aKind, const WatchObjects& aWatch) const;
+  ObjectsAnswer MakeAnswer(const Kind& aKind,
+                           const WatchObjects& aWatch,
+                           Instant aArrivedAt) const;
+  /// Whether this instance knows a considerably newer confirmation than the one
+  /// that sent a watch.
+  bool HasNewerConfirmation(const Kind& aKind,
+                            const WatchObjects& aWatch,
+                            Instant aArrivedAt) const;
   void AnswerPendingWatches(Kind& aKind);
 
+  bool IsAgeLimited(const QString& aKind) const
+  {
+    return mAgeLimit && mAgeLimit->mKind == aKind;
+  }
+  /// Records that the store confirmed the mirror of a kind in aEra.
+  void Confirm(const QString& aKind, uint64_t aEra, Instant aConfirmedAt);
+  void ReportConfirmation(const QString& aKind);
+  Milliseconds KnownAge(const QString& aKind);
+  int LimitWait(const QString& aKind, int aWaitMs);
+  void AskForConfirmation();
+  void OnConfirmationAnswer(const StoreRevision& aRevision,
+                            Instant aSentAt,
+                            const Result<ObjectsAnswer>& aAnswer);
+
   ObjectStore& mStore;
   PeerPool& mPeers;
   InstanceInfo mSelf;
   Clock mClock;
   PeerPool::LogSink mLog;
   WatchPlan mPlan;
+  std::optional<AgeLimit> mAgeLimit;
+  /// The instances to ask for newer confirmations.
+  std::vector<std::string> mConfirmationSources;
   /// Until when other instances are asked first, after the store failed.
   Instant mStoreSkippedUntil;
   /// Instances that did not answer, and until when they are not asked again.
--- a/Libraries/LibRelay/RelayRouter.cpp
+++ b/Libraries/LibRelay/RelayRouter.cpp
@@ -64,6 +64,45 @@
   return limit && (!aConfirmedAt || Now() - *aConfirmedAt >= *limit);
 }
 
+bool
+RelayRouter::HasAuthority() const
+{
+  return !mConfiguration || !mConfiguration->mAccounts ||
+         !IsExpired(mConfirmedAt);
+}
+
+std::optional<Duration>
+RelayRouter::AuthorityAge() const
+{
+  return mEnvironment.mAuthorityTimeout && mConfirmedAt
+           ? std::optional(Now() - *mConfirmedAt)
+           : std::nullopt;
+}
+
+/// Logs when the authority expires and when it is back.
+void
+RelayRouter::ObserveAuthority()
+{
+  const auto now = Now();
+  const auto milliseconds = [](Duration aTime) {
+    return std::to_string(
+      std::chrono::duration_cast<Milliseconds>(aTime).count());
+  };
+  if (HasAuthority() == !mExpiredSince) {
+    return;
+  }
+  if (mExpiredSince) {
+    mEnvironment.mLog("authority.regained",
+                      { { "afterMs", milliseconds(now - *mExpiredSince) } });
+    mExpiredSince.reset();
+    return;
+  }
+  mExpiredSince = now;
+  const auto age = AuthorityAge();
+  mEnvironment.mLog("authority.lost",
+                    { { "ageMs", age ? milliseconds(*age) : "-" } });
+}
+
 bool
 RelayRouter::NeedsAccount(const RelayRoute& aRoute) const
 {
@@ -219,6 +258,7 @@
 void
 RelayRouter::Tick()
 {
+  ObserveAuthority();
   for (const auto& [name, it] : mGroups) {
     it.mGroup->Tick();
   }
--- a/Libraries/LibRelay/RelayRouter.h
+++ b/Libraries/LibRelay/RelayRouter.h
@@ -59,6 +59,12 @@
   std::optional<Error> CheckAuthority(
     const RelayRoute& aRoute,
     const StatementAuthority& aAuthority) const;
+  /// Whether statements on behalf of client accounts may run: the store
+  /// confirmed the configuration recently enough, or need not.
+  bool HasAuthority() const;
+  /// Time since the store confirmed the configuration. Unset where it is not
+  /// limited, and before the first confirmation.
+  std::optional<Duration> AuthorityAge() const;
   /// Whether statements of a route run only on behalf of a client account.
   bool NeedsAccount(const RelayRoute& aRoute) const;
   /// Counts an error that a session answered, and logs the refusal of a key.
@@ -102,6 +108,7 @@
   };
 
   void ApplyMembers();
+  void ObserveAuthority();
   bool IsExpired(std::optional<Instant> aConfirmedAt) const;
   std::optional<Error> CheckForwardedAuthority(
     const StatementAuthority& aAuthority) const;
@@ -110,6 +117,8 @@
   RunnerFactory mMakeRunner;
   std::optional<RelayConfiguration> mConfiguration;
   std::optional<Instant> mConfirmedAt;
+  /// When the authority expired; unset while there is one.
+  std::optional<Instant> mExpiredSince;
   std::vector<DirectoryEntry> mEntries;
   std::map<std::string, GroupEntry> mGroups;
   std::map<ErrorKind, uint64_t> mErrorCounts;
--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -97,6 +97,7 @@
     return;
   }
   const auto parsed = mReader.ParseConfiguration(aObject.mContent);
+  mIsConfigurationReadable = !parsed.IsError();
   if (parsed.IsError()) {
     StructuredLog::Instance().Write(
       LogPriority::Decision,
@@ -116,6 +117,14 @@
   }
 }
 
+void
+DirectoryController::ConfirmConfiguration(Instant aConfirmedAt)
+{
+  if (mIsConfigurationReadable) {
+    mRouter.ConfirmConfiguration(aConfirmedAt);
+  }
+}
+
 void
 DirectoryController::LogProblems(const RelayConfiguration& aConfiguration)
 {
--- a/Services/Papayalined/Relay/DirectoryController.h
+++ b/Services/Papayalined/Relay/DirectoryController.h
@@ -24,6 +24,9 @@
 
   /// Whether both a configuration and a directory have been received.
   bool IsLoaded() const { return mHasDirectory && mRouter.IsConfigured(); }
+  /// Tells the router that the store confirmed, at or after an instant, the
+  /// configuration that was read last. No effect while that one is unreadable.
+  void ConfirmConfiguration(Instant aConfirmedAt);
   /// The address of a database; nothing when the directory does not list it.
   std::optional<Address> FindAddress(const std::string& aUpstream) const;
 
@@ -43,6 +46,7 @@
   DirectoryView mView;
   std::vector<DirectoryEntry> mEntries;
   bool mHasDirectory = false;
+  bool mIsConfigurationReadable = false;
 };
 
 }
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -116,6 +116,13 @@
     return std::make_shared<ForwardingRunner>(
       aGroup, mHomes, mPeers, Now, Log, mForwardCounts);
   });
+  if (mSettings.mAuthorityTimeout) {
+    mSharedStore.LimitAge(aPlatform.mReader.ConfigurationKind(),
+                          *mSettings.mAuthorityTimeout,
+                          [this](Instant aConfirmedAt) {
+                            mDirectory.ConfirmConfiguration(aConfirmedAt);
+                          });
+  }
   StructuredLog::Instance().SetInstanceName(mSettings.mInstance);
   connect(&mTickTimer, &QTimer::timeout, this, [this] { Tick(); });
   connect(&mSummaryTimer, &QTimer::timeout, this, [this] { LogSummary(); });
@@ -246,7 +253,7 @@
 bool
 RelayService::IsReady() const
 {
-  return mDirectory.IsLoaded() && !mDrainingSince;
+  return mDirectory.IsLoaded() && !mDrainingSince && mRouter.HasAuthority();
 }
 
 void
@@ -290,6 +297,10 @@
   }
   add("instances", {}, mFleet.LiveInstances().size());
   add("store_era", {}, mSharedStore.Era());
+  if (const auto age = mRouter.AuthorityAge()) {
+    const auto ms = std::chrono::duration_cast<Milliseconds>(*age);
+    add("authority_age_ms", {}, static_cast<uint64_t>(ms.count()));
+  }
   add("forwarded_total", {}, mForwardCounts.mForwarded);
   add("rerouted_total", {}, mForwardCounts.mRerouted);
   add("detours_total", {}, mForwardCounts.mDetours);
--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto kOneWayDelay = 1ms;
 constexpr auto kStoreDelay = 4ms;
+constexpr const char kConfigurationKind[] = "config";
 
 }
 
@@ -208,8 +209,11 @@
   std::shared_ptr<Link> mLink;
 };
 
-SimulatedFleet::SimulatedFleet(size_t aCount, std::vector<std::string> aDomains)
-  : mDatabases(std::make_unique<FakeUpstreams>())
+SimulatedFleet::SimulatedFleet(size_t aCount,
+                               std::vector<std::string> aDomains,
+                               std::optional<Duration> aAuthorityTimeout)
+  : mAuthorityTimeout(aAuthorityTimeout)
+  , mDatabases(std::make_unique<FakeUpstreams>())
 {
   FakeStore::Reset();
   // FakeUpstreams has an instance of its own, which takes no part here.
@@ -261,6 +265,7 @@
   auto environment = mDatabases->MakeEnvironment();
   environment.mFailureDomain = aDomain;
   environment.mLog = log;
+  environment.mAuthorityTimeout = mAuthorityTimeout;
   environment.mOpenChannel = [it, open = environment.mOpenChannel](
                                ChannelTarget aTarget, ChannelEvents aEvents) {
     ++it->mOpenedConnections;
@@ -318,6 +323,12 @@
   it->mDirectStore = std::make_unique<FakeStore>(now);
   it->mStore = std::make_unique<SharedObjectStore>(
     *it->mDirectStore, *it->mPeers, it->mInfo, now, log);
+  if (mAuthorityTimeout) {
+    it->mStore->LimitAge(
+      kConfigurationKind, *mAuthorityTimeout, [it](Instant aConfirmedAt) {
+        it->mRouter->ConfirmConfiguration(aConfirmedAt);
+      });
+  }
   it->mServer = std::make_unique<PeerServer>(
     it->mInfo.mName, *it->mRouter, *it->mStore, now);
   it->mRouter->SetRunnerFactory([=](const std::shared_ptr<RelayGroup>& aGroup) {
@@ -329,6 +340,25 @@
   mInstances.push_back(std::move(instance));
 }
 
+void
+SimulatedFleet::WatchConfiguration()
+{
+  for (const auto& instance : mInstances) {
+    auto* it = instance.get();
+    it->mWatcher = std::make_unique<ObjectWatcher>(
+      *it->mStore,
+      kConfigurationKind,
+      ObjectWatcher::Events{ [](const auto&) {}, [](const auto&) {} },
+      ObjectWatcher::Environment{
+        [this] { return mDatabases->Now(); },
+        [this, it](Duration aDelay, std::function<void()> aRun) {
+          RunAfter(it->mInfo.mName, aDelay, std::move(aRun));
+        },
+        [](const auto&, const auto&) {} });
+    it->mWatcher->Start();
+  }
+}
+
 SimulatedFleet::Instance&
 SimulatedFleet::At(const std::string& aName)
 {
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -2,6 +2,7 @@
 
 #include "FakeUpstreams.h"
 #include "LibPeer/ForwardingRunner.h"
+#include "LibPeer/ObjectWatcher.h"
 #include "LibPeer/PeerServer.h"
 
 namespace papayaline {
@@ -94,6 +95,8 @@
     std::unique_ptr<HomeDirectory> mHomes;
     std::unique_ptr<FakeStore> mDirectStore;
     std::unique_ptr<SharedObjectStore> mStore;
+    /// Null until WatchConfiguration.
+    std::unique_ptr<ObjectWatcher> mWatcher;
     std::unique_ptr<PeerServer> mServer;
     ForwardCounts mCounts;
     /// Connections to databases that it has started to open.
@@ -108,7 +111,9 @@
   };
 
   /// Creates aCount instances, assigned to aDomains in turn.
-  SimulatedFleet(size_t aCount, std::vector<std::string> aDomains);
+  SimulatedFleet(size_t aCount,
+                 std::vector<std::string> aDomains,
+                 std::optional<Duration> aAuthorityTimeout = std::nullopt);
   ~SimulatedFleet();
 
   FakeUpstreams& Databases() { return *mDatabases; }
@@ -123,6 +128,9 @@
   std::string FindServingHome(Instance& aInstance,
                               const std::string& aStatement);
 
+  /// Lets all instances watch the kind of the configuration in the store.
+  void WatchConfiguration();
+
   void Run(Milliseconds aTime) { mDatabases->Run(aTime); }
   void Kill(const std::string& aName);
   void Freeze(const std::string& aName, Milliseconds aTime);
@@ -168,6 +176,7 @@
   void RecordFrame(const QByteArray& aBytes) const;
   void CloseLink(const std::shared_ptr<Link>& aLink);
 
+  std::optional<Duration> mAuthorityTimeout;
   std::unique_ptr<FakeUpstreams> mDatabases;
   // Declared before the instances, whose channels use them on destruction.
   std::deque<Event> mEvents;
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -84,8 +84,10 @@
   TransactionState mState = TransactionState::None;
 };
 
-FakeUpstreams::FakeUpstreams(Acknowledgement aAcknowledgement)
+FakeUpstreams::FakeUpstreams(Acknowledgement aAcknowledgement,
+                             std::optional<Duration> aAuthorityTimeout)
   : mAcknowledgement(aAcknowledgement)
+  , mAuthorityTimeout(aAuthorityTimeout)
   , mRouter(std::make_unique<RelayRouter>(MakeEnvironment()))
 {
   AddMember("a", Role::Primary);
@@ -129,6 +131,7 @@
       Promote(aUpstream);
     }
   };
+  environment.mAuthorityTimeout = mAuthorityTimeout;
   environment.mLog = [this](const std::string& aEvent, const auto&) {
     mLog.push_back(aEvent);
   };
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -49,7 +49,8 @@
   };
 
   explicit FakeUpstreams(
-    Acknowledgement aAcknowledgement = Acknowledgement::Majority);
+    Acknowledgement aAcknowledgement = Acknowledgement::Majority,
+    std::optional<Duration> aAuthorityTimeout = std::nullopt);
   ~FakeUpstreams();
 
   Database& At(const std::string& aName) { return mDatabases.at(aName); }
@@ -134,6 +135,7 @@
                std::function<void(ChannelEvents&)> aDeliver);
 
   Acknowledgement mAcknowledgement;
+  std::optional<Duration> mAuthorityTimeout;
   Instant mNow = Instant(std::chrono::hours(1));
   Instant mNextTick = mNow;
   std::map<std::string, Database> mDatabases;
--- a/Tests/LibRelay/TestClientAccounts.cpp
+++ b/Tests/LibRelay/TestClientAccounts.cpp
@@ -24,7 +24,7 @@
   CPPUNIT_TEST(KeyTakenAwayWhileTheTransactionBeginsItIsRolledBack);
   CPPUNIT_TEST(KeyTakenAwayBetweenRetriesNothingRuns);
   CPPUNIT_TEST(KeyTakenAwayWhileTheStatementIsDeferredNothingRuns);
-  CPPUNIT_TEST(KeyTakenAwayBeforeTheHedgeTheFirstAnswerIsDelivered);
+  CPPUNIT_TEST(KeyTakenAwayBeforeTheHedgeNothingMoreIsSent);
   CPPUNIT_TEST(RoutePublicNeedsNoKey);
   CPPUNIT_TEST(RouteNoLongerPublicAppliesFromTheNextTransaction);
   CPPUNIT_TEST_SUITE_END();
@@ -281,9 +281,8 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), CountArrived(CommandType::Rollback));
   }
 
-  /// The first attempt was sent while the key was known, so its answer may be
-  /// delivered; nothing is sent afterwards.
-  void KeyTakenAwayBeforeTheHedgeTheFirstAnswerIsDelivered()
+  /// The first attempt was sent while the key was known; its answer may come.
+  void KeyTakenAwayBeforeTheHedgeNothingMoreIsSent()
   {
     RelayRoute route;
     route.mDatabase = "db";
