--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -86,9 +86,11 @@
 };
 
 FakeUpstreams::FakeUpstreams(Acknowledgement aAcknowledgement,
-                             QuotaGate* aQuota)
+                             QuotaGate* aQuota,
+                             std::optional<Duration> aAuthorityTimeout)
   : mAcknowledgement(aAcknowledgement)
   , mQuota(aQuota)
+  , mAuthorityTimeout(aAuthorityTimeout)
   , mRouter(std::make_unique<RelayRouter>(MakeEnvironment()))
 {
   AddMember("a", Role::Primary);
@@ -133,6 +135,7 @@
       Promote(aUpstream);
     }
   };
+  environment.mAuthorityTimeout = mAuthorityTimeout;
   environment.mLog = [this](const std::string& aEvent, const auto&) {
     mLog.push_back(aEvent);
   };
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -52,7 +52,8 @@
 
   explicit FakeUpstreams(
     Acknowledgement aAcknowledgement = Acknowledgement::Majority,
-    QuotaGate* aQuota = nullptr);
+    QuotaGate* aQuota = nullptr,
+    std::optional<Duration> aAuthorityTimeout = std::nullopt);
   ~FakeUpstreams();
 
   Database& At(const std::string& aName) { return mDatabases.at(aName); }
@@ -138,6 +139,7 @@
 
   Acknowledgement mAcknowledgement;
   QuotaGate* mQuota;
+  std::optional<Duration> mAuthorityTimeout;
   Instant mNow = Instant(std::chrono::hours(1));
   Instant mNextTick = mNow;
   std::map<std::string, Database> mDatabases;
