LibDecision: Bound the first rank's concurrency by three shares

Cause: with many instances that all run statements at a database, a minimum of all its slots for the first rank of each would add up to many times the slots. Ranks in the reported load came from routes unbounded.

--- a/Libraries/LibDecision/SlotShare.h
+++ b/Libraries/LibDecision/SlotShare.h
@@ -29,10 +29,10 @@
 ///
 /// It does not fall below an even share of the slots, since slots are idle
 /// while all instances run less than that. For the first rank it does not fall
-/// below the number of slots: at the database a statement of that rank is
-/// behind whatever other instances sent, and must not wait for statements of
-/// its own instance besides. It then waits there for no more than mSharers - 1
-/// others on each slot. Without mSharers it is mLimit. Pure; any thread.
+/// below three such shares, as far as there are slots: at the database a
+/// statement of that rank is behind whatever other instances sent, and must not
+/// wait for statements of its own instance besides. Without mSharers it is
+/// mLimit. Pure; any thread.
 unsigned
 ConcurrencyOf(const SlotUse& aUse, RankPlace aPlace);
 
--- a/Libraries/LibRelay/RelayGroupSharing.cpp
+++ b/Libraries/LibRelay/RelayGroupSharing.cpp
@@ -5,6 +5,14 @@
 
 namespace papayaline {
 
+namespace {
+
+/// Bounds the report, since ranks may be any number. Lower ranks wait at least
+/// as long as this one.
+constexpr unsigned kMaxToldRank = 15;
+
+}
+
 FairStatement
 RelayGroup::FairnessOf(const PendingRequest& aPending,
                        const std::string& aUpstream) const
@@ -118,6 +126,7 @@
     }
   }
   GroupLoad load;
+  lowest = std::min(lowest, kMaxToldRank);
   if (ofKind.empty()) {
     return load;
   }
--- a/Tests/LibDecision/TestSlotShare.cpp
+++ b/Tests/LibDecision/TestSlotShare.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(TestSlotShare);
   CPPUNIT_TEST(InstancesThatHoldBackLeaveNoSlotIdle);
   CPPUNIT_TEST(FirstRankMayUseAllSlotsWhateverOthersSent);
+  CPPUNIT_TEST(FirstRankOfManyInstancesHasThreeSharesAtMost);
   CPPUNIT_TEST(LimitAboveTheShareStands);
   CPPUNIT_TEST(UnknownSharersLeaveTheLimit);
   CPPUNIT_TEST_SUITE_END();
@@ -33,6 +34,16 @@
     CPPUNIT_ASSERT_EQUAL(2U, ConcurrencyOf({ 4, 3, 1 }, RankPlace::Other));
   }
 
+  /// However many instances have statements of the first rank.
+  void FirstRankOfManyInstancesHasThreeSharesAtMost()
+  {
+    for (unsigned sharers = 4; sharers <= 80; ++sharers) {
+      const auto each = ConcurrencyOf({ 4, sharers, 1 }, RankPlace::First);
+      const auto other = ConcurrencyOf({ 4, sharers, 1 }, RankPlace::Other);
+      CPPUNIT_ASSERT(each <= 3 * other);
+    }
+  }
+
   void LimitAboveTheShareStands()
   {
     CPPUNIT_ASSERT_EQUAL(9U, ConcurrencyOf({ 4, 3, 9 }, RankPlace::First));
