LibPeer: Prove that confirmations stay young and true

Cause: nothing showed that watchers which wait in step lose all authority with a slow store, that ages count from the sending, nor that frames of older instances are read.

--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -10,7 +10,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto kOneWayDelay = 1ms;
-constexpr auto kStoreDelay = 4ms;
 constexpr const char kConfigurationKind[] = "config";
 
 }
@@ -36,7 +35,7 @@
 FakeStore::Answer(BatchHandler aHandler, Result<ObjectBatch> aBatch)
 {
   if (!mIsSilent) {
-    mAnswers.emplace_back(mClock() + kStoreDelay, [=, this] {
+    mAnswers.emplace_back(mClock() + mDelay, [=, this] {
       if (!aBatch.IsError()) {
         mEra = std::max(mEra, aBatch.Value().mStoreRevision.mEra);
       }
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -58,6 +58,8 @@
   bool mIsRefusing = false;
   /// Answers none of this instance's calls.
   bool mIsSilent = false;
+  /// From the store's answer to its arrival.
+  Milliseconds mDelay{ 4 };
   size_t mCalls = 0;
 
 private:
--- a/Tests/LibPeer/TestAuthorityAge.cpp
+++ b/Tests/LibPeer/TestAuthorityAge.cpp
@@ -15,9 +15,13 @@
   CPPUNIT_TEST_SUITE(TestAuthorityAge);
   CPPUNIT_TEST(FleetHealthyAllInstancesKeepTheirAuthority);
   CPPUNIT_TEST(FleetSmallAllInstancesKeepTheirAuthority);
+  CPPUNIT_TEST(FleetIdleConfirmationsCountFromTheSending);
+  CPPUNIT_TEST(AgeNotLimitedWatchesTellNoAges);
   CPPUNIT_TEST(AgeLimitedTheStoreIsCalledNoMoreOften);
   CPPUNIT_TEST(WatchersKilledTheOthersKeepTheirAuthority);
   CPPUNIT_TEST(WatcherFrozenTheOthersKeepTheirAuthority);
+  CPPUNIT_TEST(WatcherFrozenAfterAChangeTheOthersKeepTheirAuthority);
+  CPPUNIT_TEST(StoreSlowAfterAChangeNoInstanceLosesItsAuthority);
   CPPUNIT_TEST(StoreRefusesAThirdOfTheInstancesNoneLosesItsAuthority);
   CPPUNIT_TEST(StoreServesOneInstanceConfirmationsPassInAChain);
   CPPUNIT_TEST(StoreDownNoInstanceCountsALaterConfirmation);
@@ -82,6 +86,16 @@
     }
   }
 
+  /// Lets an instance get no confirmation until the last one has an age.
+  void AgeConfirmation(SimulatedFleet::Instance& aInstance, Duration aAge)
+  {
+    aInstance.mDirectStore->mIsSilent = true;
+    aInstance.mStore->SetFleet({ aInstance.mInfo });
+    while (*aInstance.mRouter->AuthorityAge() < aAge) {
+      mFleet->Run(10ms);
+    }
+  }
+
   size_t CountStoreCalls(std::optional<Duration> aLimit)
   {
     SimulatedFleet fleet(40, { "d1", "d2", "d3" }, aLimit);
@@ -112,6 +126,35 @@
     RunKeepingAuthority(10s);
   }
 
+  /// A watch without changes is answered when its wait is over.
+  void FleetIdleConfirmationsCountFromTheSending()
+  {
+    constexpr Duration kWait = 2s;
+    Start(20);
+    for (int n = 0; n < 500; ++n) {
+      mFleet->Run(10ms);
+      ForEach([&](SimulatedFleet::Instance& it) {
+        CPPUNIT_ASSERT(*it.mRouter->AuthorityAge() >= kWait);
+      });
+    }
+  }
+
+  /// Without a limit watches and their answers are as they were before.
+  void AgeNotLimitedWatchesTellNoAges()
+  {
+    size_t watches = 0;
+    SimulatedFleet fleet(20, { "d1", "d2", "d3" });
+    fleet.mOnWritten = [&](const std::string& it) {
+      if (it.starts_with("[\"watch\"") || it.starts_with("[\"objects\"")) {
+        ++watches;
+        CPPUNIT_ASSERT_MESSAGE(it, it.ends_with(",null]"));
+      }
+    };
+    fleet.WatchConfiguration();
+    fleet.Run(3s);
+    CPPUNIT_ASSERT(watches > 0);
+  }
+
   void AgeLimitedTheStoreIsCalledNoMoreOften()
   {
     const auto without = CountStoreCalls(std::nullopt);
@@ -132,6 +175,18 @@
     RunKeepingAuthority(10s);
   }
 
+  /// The change has answered the watches of all watchers at the same time.
+  void WatcherFrozenAfterAChangeTheOthersKeepTheirAuthority()
+  {
+    for (const auto phase : { 5500ms, 6500ms, 7500ms, 7900ms }) {
+      Start(40);
+      mFleet->At(0).mDirectStore->Set("x", "1");
+      mFleet->Run(phase);
+      mFleet->Freeze(FirstWatcher("d1").mInfo.mName, 8s);
+      RunKeepingAuthority(5s);
+    }
+  }
+
   void WatcherFrozenTheOthersKeepTheirAuthority()
   {
     Start(40);
@@ -139,6 +194,16 @@
     RunKeepingAuthority(7s);
   }
 
+  /// The change has answered the watches of all watchers at the same time.
+  void StoreSlowAfterAChangeNoInstanceLosesItsAuthority()
+  {
+    Start(40);
+    mFleet->At(0).mDirectStore->Set("x", "1");
+    ForEach(
+      [](SimulatedFleet::Instance& it) { it.mDirectStore->mDelay = 600ms; });
+    RunKeepingAuthority(20s);
+  }
+
   void StoreRefusesAThirdOfTheInstancesNoneLosesItsAuthority()
   {
     Start(40);
@@ -226,11 +291,7 @@
     caller->Send("WRITE 1 x");
     mFleet->Run(200ms);
     CPPUNIT_ASSERT(caller->IsAnswered() && !caller->LastError());
-    entry.mDirectStore->mIsSilent = true;
-    entry.mStore->SetFleet({ entry.mInfo });
-    while (*entry.mRouter->AuthorityAge() < kLimit - 150ms) {
-      mFleet->Run(10ms);
-    }
+    AgeConfirmation(entry, kLimit - 150ms);
     for (const auto* it : { "a", "b", "c" }) {
       mFleet->Databases().At(it).mRefusal = ErrorKind::QueueFull;
       mFleet->Databases().At(it).mRefusals = 1000;
@@ -247,22 +308,23 @@
     CPPUNIT_ASSERT_EQUAL(size_t(0), mFleet->CountRuns("WRITE 2 y"));
   }
 
+  /// The homes are frozen for less than the time after which they count as
+  /// failed.
   void HomeFrozenStatementOnTheWayDoesNotRun()
   {
     Start(40);
     auto& entry = mFleet->NonHome();
-    const auto home = mFleet->FindServingHome(entry, "READ 1");
     const auto caller = mFleet->Connect(entry, Freshness::Latest, kKey);
     caller->Send("WRITE 1 x");
     mFleet->Run(200ms);
     CPPUNIT_ASSERT(caller->IsAnswered() && !caller->LastError());
-    const auto served = mFleet->Plan().mRanked.front().mName;
+    AgeConfirmation(entry, kLimit - 300ms);
     for (size_t n = 0; n < mFleet->Plan().mHomes; ++n) {
-      mFleet->Freeze(mFleet->Plan().mRanked[n].mName, kLimit);
+      mFleet->Freeze(mFleet->Plan().mRanked[n].mName, 500ms);
     }
     caller->Send("WRITE 2 y");
-    mFleet->Run(kLimit + 1s);
-    CPPUNIT_ASSERT(caller->IsAnswered());
+    mFleet->Run(800ms);
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::AuthorityExpired);
     CPPUNIT_ASSERT_EQUAL(size_t(0), mFleet->CountRuns("WRITE 2 y"));
   }
 };
--- a/Tests/LibPeer/TestPeerMessages.cpp
+++ b/Tests/LibPeer/TestPeerMessages.cpp
@@ -13,6 +13,7 @@
 {
   CPPUNIT_TEST_SUITE(TestPeerMessages);
   CPPUNIT_TEST(MessagesOfAllTypesSurviveEncoding);
+  CPPUNIT_TEST(MessagesOfOlderInstancesAreRead);
   CPPUNIT_TEST(BytesOfAnyValueSurviveEncoding);
   CPPUNIT_TEST(MalformedMessagesAreErrors);
   CPPUNIT_TEST(DamagedMessagesAreErrorsOrMessages);
@@ -45,6 +46,9 @@
     statement.mValues = { { "name", "value" } };
     statement.mLastWritePosition = LogPosition{ 3, 1207 };
     statement.mPreparedQuery = PreparedQuery{ Access::Write, "q2c" };
+    statement.mAccount = "meadow";
+    statement.mAccountRank = 2;
+    statement.mConfirmedAt = Instant(-3s);
     return statement;
   }
 
@@ -65,7 +69,11 @@
     objects.mBatch = { { { "main", { 2, 12 }, "text", false },
                          { "gone", { 2, 13 }, {}, true } },
                        { 2, 14 } };
+    objects.mConfirmedAfter = -2100ms;
+    answer.mClock = Instant(90min);
     return { PeerHello{ 1, "i1" },
+             PeerHello{ 1, "i1", 1, Instant(90min) },
+             PeerPong{ Instant(90min) },
              Statement(),
              answer,
              refusal,
@@ -88,6 +96,31 @@
     }
   }
 
+  void MessagesOfOlderInstancesAreRead()
+  {
+    const auto decode = [](const char* aBytes) {
+      const auto message = DecodePeerMessage(aBytes);
+      CPPUNIT_ASSERT_MESSAGE(aBytes, !message.IsError());
+      return message.Value();
+    };
+    CPPUNIT_ASSERT(PeerMessage(PeerHello{ 1, "i1", 0 }) ==
+                   decode(R"(["hello",1,"i1"])"));
+    CPPUNIT_ASSERT(PeerMessage(PeerPong{}) == decode(R"(["pong"])"));
+    CPPUNIT_ASSERT(
+      PeerMessage(WatchObjects{ 1, "config", { 2, 5 }, 1s, 3s, {} }) ==
+      decode(R"(["watch",1,"config",5,1000,3000,2])"));
+    CPPUNIT_ASSERT(
+      PeerMessage(ObjectsAnswer{ 1, false, { {}, { 2, 5 } }, {} }) ==
+      decode(R"(["objects",1,false,5,[],2])"));
+    const auto answer = std::get<ForwardAnswer>(
+      decode(R"(["ran",1,false,0,["x"],"signed",null,0,null])"));
+    CPPUNIT_ASSERT(!answer.mLoad && !answer.mClock);
+    const auto statement = std::get<ForwardStatement>(decode(
+      R"(["run",1,0,"r1",4,"READ 1","","",["db","g",0,0,1000,200,1],0,0,0,0,{},null,null])"));
+    CPPUNIT_ASSERT(statement.mAccount.empty() && !statement.mConfirmedAt);
+    CPPUNIT_ASSERT(!statement.mRoute.mIsPublic);
+  }
+
   void BytesOfAnyValueSurviveEncoding()
   {
     auto statement = Statement();
