integration-relay: Show that the authority expires and is back with the store

Cause: only fleets in memory showed it, not the process with its settings.

Change: a test with authority_timeout of 2 s and a store that goes silent.

--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(EntriesUnreadableTheOthersStayInUse);
   CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
   CPPUNIT_TEST(KeysDecideWhoIsServedAndAreWrittenNowhere);
+  CPPUNIT_TEST(StoreSilentAuthorityExpiresAndIsBackWithTheStore);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
   CPPUNIT_TEST(TerminatedUnderLoadAllStatementsAreAnswered);
   CPPUNIT_TEST_SUITE_END();
@@ -46,6 +47,8 @@
   quint16 mReadyPort = 0;
   quint16 mMetricsPort = 0;
   int mConfigurationVersion = 0;
+  /// A line of the settings' relay section, or nothing.
+  QByteArray mFurtherSetting;
 
   template<typename Condition>
   static bool Await(Condition aCondition)
@@ -145,9 +148,9 @@
     file.write("instance: entry-1\nfailure_domain: z\ncaller_address: " +
                local(mCallerPort) + "relay:\n  readiness_address: " +
                local(mReadyPort) + "  readiness_path: /ready\n" +
-               "  metrics_address: " + local(mMetricsPort) +
-               "  store: " + local(mStore->Port()) +
-               "  promotion: " + local(mStore->Port()) + "  grace: 6s\n");
+               "  metrics_address: " + local(mMetricsPort) + "  store: " +
+               local(mStore->Port()) + "  promotion: " + local(mStore->Port()) +
+               "  grace: 6s\n" + mFurtherSetting);
     return file.fileName();
   }
 
@@ -201,6 +204,7 @@
       return mDatabases->Promote(aName.toStdString());
     };
     mConfigurationVersion = 0;
+    mFurtherSetting.clear();
     Configure({ "bookings" });
     ListDatabases();
     mCallerPort = FreePort();
@@ -438,6 +442,25 @@
     CPPUNIT_ASSERT(!written.contains("secret"));
   }
 
+  void StoreSilentAuthorityExpiresAndIsBackWithTheStore()
+  {
+    Configure({ "bookings" },
+              1000,
+              QJsonArray{ QJsonObject{ { "name", "meadow" },
+                                       { "apiKeys", QJsonArray{ "k1" } } } });
+    mFurtherSetting = "  authority_timeout: 2s\n";
+    StartInstance();
+    CPPUNIT_ASSERT(Await([this] { return IsReady(); }));
+    Session session(mCallerPort, "bookings", "k1");
+    CPPUNIT_ASSERT(session.Query("WRITE 1 x").contains("COMPLETE signed"));
+    mStore->SetUnresponsive(true);
+    CPPUNIT_ASSERT(Await([this] { return ReadinessStatus() == 503; }));
+    CPPUNIT_ASSERT(session.Query("READ 1").startsWith("ERROR BUSY "));
+    mStore->SetUnresponsive(false);
+    CPPUNIT_ASSERT(Await([this] { return IsReady(); }));
+    CPPUNIT_ASSERT(session.Query("READ 1").contains("ROW x"));
+  }
+
   void TerminatedFinishesTheTransactionAndExits()
   {
     Session session(mCallerPort, "bookings");
