Papayalined: Bound the logged problems without a range adaptor

Cause: the linter's compiler doesn't accept views of the machine's standard library, so the file could not be checked.

Change: a span of the first problems.

--- a/Services/Papayalined/Relay/DirectoryController.cpp
+++ b/Services/Papayalined/Relay/DirectoryController.cpp
@@ -5,7 +5,7 @@
 
 #include <QTimer>
 #include <algorithm>
-#include <ranges>
+#include <span>
 
 namespace papayaline {
 
@@ -129,7 +129,8 @@
 DirectoryController::LogProblems(const RelayConfiguration& aConfiguration)
 {
   const auto& problems = aConfiguration.mProblems;
-  for (const auto& it : problems | std::views::take(kMaxLoggedProblems)) {
+  const auto logged = std::min(problems.size(), kMaxLoggedProblems);
+  for (const auto& it : std::span(problems).first(logged)) {
     StructuredLog::Instance().Write(
       LogPriority::Decision,
       "configuration.omitted",
