--- a/Libraries/LibDecision/FairOrder.cpp
+++ b/Libraries/LibDecision/FairOrder.cpp
@@ -52,12 +52,14 @@
     auto& first = earliest.try_emplace(key, start).first->second;
     first = std::min(first, start);
   }
-  for (auto& [key, it] : mClasses) {
-    if (const auto first = earliest.find(key); first != earliest.end()) {
-      it.mNow = std::max(it.mNow, first->second);
+  for (auto& it : mClasses) {
+    auto& own = it.second;
+    if (const auto first = earliest.find(it.first); first != earliest.end()) {
+      own.mNow = std::max(own.mNow, first->second);
     }
-    std::erase_if(it.mEnds,
-                  [&](const auto& end) { return end.second <= it.mNow; });
+    std::erase_if(own.mEnds, [now = own.mNow](const auto& aEnd) {
+      return aEnd.second <= now;
+    });
   }
   std::vector<size_t> order(aWaiting.size());
   std::iota(order.begin(), order.end(), 0);
--- a/Tests/LoadPatterns/LoadWorld.cpp
+++ b/Tests/LoadPatterns/LoadWorld.cpp
@@ -68,7 +68,7 @@
   {
     const std::weak_ptr weak = mEvents;
     mWorld.Schedule(kOneWayDelay, [this, weak, aCommand] {
-      if (weak.lock()) {
+      if (weak.lock() && mRestarts == mWorld.mRestarts) {
         Arrive(aCommand);
       }
     });
