--- a/Libraries/LibDecision/ConnectionBudget.h
+++ b/Libraries/LibDecision/ConnectionBudget.h
@@ -29,9 +29,12 @@
   unsigned mMinimum = 1;
   /// How long a connection above the minimum may be idle before it is closed.
   std::chrono::milliseconds mIdleTimeout{ 1000 };
-  /// How many connections may be opening at a time. Statements of one account
-  /// wait for one opening at a time.
+  /// No more of them are closed for being idle.
+  unsigned mKept = 0;
+  /// How many connections may be opening at a time.
   unsigned mMaxOpenings = 1;
+  /// Whether a newer status of the database may allow more connections.
+  bool mMayGrow = true;
 
   bool operator==(const ConnectionPlan&) const = default;
 };
@@ -49,6 +52,9 @@
   /// The number of statements or connection attempts that the database handles
   /// concurrently.
   unsigned mSlots = 1;
+  /// The number of client accounts, each of which needs connections of its own;
+  /// 0 when there are none.
+  unsigned mAccounts = 0;
 
   bool operator==(const ConnectionLoad&) const = default;
 };
@@ -74,6 +80,14 @@
 /// processes. The idle timeout then gives the database the time to open one
 /// connection per instance.
 ///
+/// With client accounts, idle connections are kept for long, since each one
+/// spares its account an opening. When the accounts of all instances need more
+/// connections than there are, one instance may have three quarters of them: a
+/// database's statements mostly come through the home in its failure domain,
+/// and the others need few connections to it. An instance with less than half
+/// of an equal share may open more from the reserve; those with more than an
+/// equal share then close as many idle ones as the reserve lacks.
+///
 /// If there are more instances than connections, or their number is unknown,
 /// idle connections are not kept once all but the reserve are in use.
 ///
--- a/Libraries/LibDecision/HomePlan.cpp
+++ b/Libraries/LibDecision/HomePlan.cpp
@@ -38,6 +38,10 @@
     return isPrimary ? 0 : isOwn ? 1 : 2;
   }
   // A home in the primary's domain forwards reads to replicas in other domains.
+  if (isPrimary && !aRequirements.mAccount.empty() &&
+      !aRequirements.mHasReplicaBesidePrimary) {
+    return 2;
+  }
   return isOwn ? 0 : isPrimary ? 2 : 1;
 }
 
@@ -106,8 +110,10 @@
       continue;
     }
     const auto tieBreaker = std::hash<std::string>()(
-      aRequirements.mGroup + '\n' + aRequirements.mInstance + '\n' +
-      candidate.mName);
+      aRequirements.mGroup + '\n' +
+      (aRequirements.mAccount.empty() ? aRequirements.mInstance
+                                      : aRequirements.mAccount) +
+      '\n' + candidate.mName);
     const Rank rank{ !candidate.mIsHome,
                      CountCrossings(aRequirements, candidate),
                      !candidate.mIsSelf,
--- a/Libraries/LibDecision/HomePlan.h
+++ b/Libraries/LibDecision/HomePlan.h
@@ -69,12 +69,20 @@
   /// runs them needs evidence that the primary has not been replaced; when they
   /// all run at one home, it collects the evidence once for all.
   bool mNeedsPrimary = false;
+  /// The client account of the statement; may be empty.
+  std::string mAccount{};
+  /// Whether a replica is in the primary's domain.
+  bool mHasReplicaBesidePrimary = false;
 };
 
 /// Chooses the instance that runs a statement. Homes are preferred, then
 /// candidates with fewer crossings between failure domains, then the choosing
-/// instance itself; a hash distributes the rest. Returns the index of the
-/// candidate, or nothing when none is usable. Pure; any thread.
+/// instance itself; a hash distributes the rest. A home in the primary's domain
+/// without a replica runs other reads of client accounts last, since it would
+/// run them at the replicas of other domains and need connections of each
+/// account there beside those of the homes in these domains; the hash is by
+/// account, so that few homes need connections of each. Returns the index of
+/// the candidate, or nothing when none is usable. Pure; any thread.
 std::optional<size_t>
 ChooseHome(const HomeRequirements& aRequirements,
            std::span<const HomeCandidate> aCandidates);
--- a/Libraries/LibDecision/RelayRouting.cpp
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -106,8 +106,15 @@
     }
     const auto primaryPenalty =
       isPrimary && !isPrimaryOnly ? aSettings.mPrimaryReadPenalty : Duration{};
-    (candidate.mIsAvailable ? best : bestBusy)
-      .Offer(it, ExpectedTime(candidate, aSettings) + primaryPenalty);
+    const auto expected = ExpectedTime(candidate, aSettings) + primaryPenalty;
+    if (candidate.mIsAvailable || candidate.mConnectionDelay) {
+      best.Offer(it,
+                 expected + (candidate.mIsAvailable
+                               ? Duration{}
+                               : *candidate.mConnectionDelay));
+    } else {
+      bestBusy.Offer(it, expected);
+    }
   }
   RelayChoice choice;
   if (!isPrimaryOnly && !needed && primary) {
@@ -115,7 +122,9 @@
     return choice;
   }
   if (best.mIndex) {
-    choice.mVerdict = RelayVerdict::Run;
+    choice.mVerdict = aCandidates[*best.mIndex].mIsAvailable
+                        ? RelayVerdict::Run
+                        : RelayVerdict::WaitForConnection;
     choice.mIndex = *best.mIndex;
   } else if (bestBusy.mIndex) {
     choice.mVerdict = RelayVerdict::WaitForConnection;
--- a/Libraries/LibDecision/RelayRouting.h
+++ b/Libraries/LibDecision/RelayRouting.h
@@ -25,6 +25,9 @@
   std::string mName;
   /// Whether a connection is idle or may be opened.
   bool mIsAvailable = true;
+  /// When it is not available, how soon a connection of the statement's account
+  /// can be, if the statement may wait for one rather than go elsewhere.
+  std::optional<Duration> mConnectionDelay;
   Distance mDistance = Distance::SameRegion;
   /// Whether the database already refused this statement.
   bool mIsExcluded = false;
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -129,12 +129,15 @@
         : !aPending.mTriedPeers.contains(it.mName) && mPeers.IsUsable(it.mName);
     candidates.push_back(candidate);
   }
-  const auto choice = ChooseHome({ mGroup->Name(),
-                                   self.mName,
-                                   self.mFailureDomain,
-                                   HomeDirectory::PrimaryDomain(*mGroup),
-                                   NeedsPrimary(aPending.mRequest) },
-                                 candidates);
+  const auto choice =
+    ChooseHome({ mGroup->Name(),
+                 self.mName,
+                 self.mFailureDomain,
+                 HomeDirectory::PrimaryDomain(*mGroup),
+                 NeedsPrimary(aPending.mRequest),
+                 aPending.mRequest.mAuthority.mAccount,
+                 HomeDirectory::HasReplicaBesidePrimary(*mGroup) },
+               candidates);
   return choice ? std::optional(candidates[*choice].mName) : std::nullopt;
 }
 
--- a/Libraries/LibPeer/HomeDirectory.cpp
+++ b/Libraries/LibPeer/HomeDirectory.cpp
@@ -69,4 +69,13 @@
   return it != members.end() ? it->mFailureDomain : std::string();
 }
 
+bool
+HomeDirectory::HasReplicaBesidePrimary(const RelayGroup& aGroup)
+{
+  return std::ranges::any_of(
+    aGroup.View().Members(), [domain = PrimaryDomain(aGroup)](const auto& it) {
+      return it.mListedRole == Role::Replica && it.mFailureDomain == domain;
+    });
+}
+
 }
--- a/Libraries/LibPeer/HomeDirectory.h
+++ b/Libraries/LibPeer/HomeDirectory.h
@@ -25,6 +25,8 @@
   /// The failure domain of the primary that the directory lists; empty when it
   /// lists none.
   static std::string PrimaryDomain(const RelayGroup& aGroup);
+  /// Whether the directory lists a replica in the primary's failure domain.
+  static bool HasReplicaBesidePrimary(const RelayGroup& aGroup);
 
 private:
   /// The inputs that a plan was computed from.
--- a/Libraries/LibRelay/LinkPool.cpp
+++ b/Libraries/LibRelay/LinkPool.cpp
@@ -3,6 +3,7 @@
 #include "LibDecision/Backoff.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaline {
 
@@ -84,45 +85,141 @@
   });
 }
 
-bool
-LinkPool::IsOpening(const std::string& aAccount) const
+void
+LinkPool::BeginDispatch(Duration aAnswerTime)
 {
-  return IsOpeningSince(Instant::min(), aAccount);
+  mAnswerTime = aAnswerTime;
+  mWaitingBefore = std::exchange(mWaiting, {});
+  mCounts.reset();
 }
 
-void
+unsigned
+LinkPool::WaitingCount(const std::string& aAccount) const
+{
+  const auto it = mWaiting.find(aAccount);
+  return it != mWaiting.end() ? it->second : 0;
+}
+
+std::optional<ConnectionVerdict>
 LinkPool::OpenIfNoneFree(const std::string& aAccount)
 {
   if (HasFree(aAccount)) {
-    return;
+    return std::nullopt;
   }
   mNextAccount = aAccount;
-  if (IsOpening(aAccount) || OpeningCount() >= mPlan.mMaxOpenings ||
-      mClock() < mRetryAt) {
-    return;
+  mHasAccounts |= !aAccount.empty();
+  if (!mHasAccounts) {
+    if (OpeningCount() == 0 && MayOpen(mPlan.mAllowance)) {
+      Open(aAccount);
+    }
+    return std::nullopt;
   }
-  if (MayOpen(mPlan.mAllowance) || CloseForOther(aAccount)) {
+  if (mClock() < mRetryAt) {
+    return std::nullopt;
+  }
+  const auto choice = Choose(aAccount, std::max(WaitingCount(aAccount), 1U));
+  if (choice.mVerdict == ConnectionVerdict::Replace) {
+    CloseFree(choice.mReplaced);
+    if (mOnReplaced) {
+      mOnReplaced();
+    }
+  }
+  if (choice.mVerdict == ConnectionVerdict::Open ||
+      choice.mVerdict == ConnectionVerdict::Replace) {
     Open(aAccount);
   }
+  return choice.mVerdict;
+}
+
+std::optional<Duration>
+LinkPool::ExpectedDelay(const std::string& aAccount) const
+{
+  if (!mHasAccounts || mClock() < mRetryAt) {
+    return std::nullopt;
+  }
+  const ConnectionLimits limits;
+  switch (Choose(aAccount, WaitingCount(aAccount) + 1).mVerdict) {
+    case ConnectionVerdict::Open:
+    case ConnectionVerdict::Replace:
+    case ConnectionVerdict::WaitForOpening:
+      return limits.mOpenTime;
+    case ConnectionVerdict::WaitForOwn:
+      return mAnswerTime;
+    default:
+      return std::nullopt;
+  }
+}
+
+ConnectionChoice
+LinkPool::Choose(const std::string& aAccount, unsigned aPosition) const
+{
+  ConnectionLimits limits;
+  limits.mAllowance = mPlan.mAllowance;
+  limits.mTotal = static_cast<unsigned>(mEntries.size());
+  limits.mMaxOpenings = mPlan.mMaxOpenings;
+  limits.mOpenings = OpeningCount();
+  limits.mAnswerTime = mAnswerTime;
+  if (!mCounts) {
+    mCounts = CountByAccount();
+  }
+  return ChooseConnection(aAccount, aPosition, *mCounts, limits);
+}
+
+std::vector<AccountConnections>
+LinkPool::CountByAccount() const
+{
+  const auto now = mClock();
+  std::map<std::string_view, AccountConnections> counts;
+  for (const auto& it : mEntries) {
+    auto& count = counts[it.mLink->Account()];
+    if (it.mLink->GetState() == UpstreamLink::State::Opening) {
+      ++count.mOpening;
+    } else if (IsFree(it)) {
+      ++count.mIdle;
+      count.mIdleTime = std::max(count.mIdleTime, now - it.mLink->LastUsedAt());
+    } else if (it.mLink->Transaction() != TransactionState::None) {
+      ++count.mInTransaction;
+    } else {
+      ++count.mRunning;
+    }
+  }
+  for (const auto& [name, n] : mWaitingBefore) {
+    counts[name].mWaiting = n;
+  }
+  for (const auto& [name, n] : mWaiting) {
+    auto& count = counts[name];
+    count.mWaiting = std::max(count.mWaiting, n);
+  }
+  std::vector<AccountConnections> all;
+  for (auto& [name, it] : counts) {
+    it.mAccount = name;
+    it.mRate = mDemand.Rate(it.mAccount, now);
+    all.push_back(std::move(it));
+  }
+  return all;
 }
 
 bool
-LinkPool::CloseForOther(const std::string& aAccount)
+LinkPool::IsGone(const std::string& aAccount) const
+{
+  return mAccounts && !aAccount.empty() && !mAccounts->FindByName(aAccount);
+}
+
+void
+LinkPool::CloseFree(const std::string& aAccount)
 {
   LinkPointer oldest;
   for (const auto& it : mEntries) {
-    const bool mayClose = IsFree(it) && it.mLink->Account() != aAccount;
+    const bool mayClose = IsFree(it) && it.mLink->Account() == aAccount;
     if (mayClose &&
         (!oldest || it.mLink->LastUsedAt() < oldest->LastUsedAt())) {
       oldest = it.mLink;
     }
   }
-  if (!oldest) {
-    return false;
+  if (oldest) {
+    oldest->Close();
+    Remove(oldest);
   }
-  oldest->Close();
-  Remove(oldest);
-  return true;
 }
 
 bool
@@ -148,6 +245,9 @@
 LinkPool::Acquire(const SessionState& aSession, const std::string& aAccount)
 {
   OpenIfNoneFree(aAccount);
+  if (mHasAccounts) {
+    mDemand.Observe(aAccount, mClock());
+  }
   return AcquireWhere(aSession,
                       [&](const auto& it) { return it.Account() == aAccount; });
 }
@@ -181,6 +281,7 @@
     return nullptr;
   }
   best->mIsInUse = true;
+  mCounts.reset();
   return best->mLink;
 }
 
@@ -198,6 +299,10 @@
   const auto link = std::make_shared<UpstreamLink>(
     ChannelTarget{ mGroup, mUpstream, aAccount }, mObserver, mClock);
   mEntries.push_back({ link, false });
+  mCounts.reset();
+  if (mOnOpening) {
+    mOnOpening();
+  }
   const std::weak_ptr weak = link;
   link->Open(mOpener, [this, weak](const std::optional<Error>& aError) {
     if (const auto opened = weak.lock()) {
@@ -209,6 +314,7 @@
 void
 LinkPool::OnState(const LinkPointer& aLink, const std::optional<Error>& aError)
 {
+  mCounts.reset();
   if (!aError) {
     mFailure.reset();
     mFailures = 0;
@@ -248,6 +354,7 @@
 void
 LinkPool::Remove(const LinkPointer& aLink)
 {
+  mCounts.reset();
   std::erase_if(mEntries, [&](const auto& it) { return it.mLink == aLink; });
 }
 
@@ -259,6 +366,7 @@
     return;
   }
   entry->mIsInUse = false;
+  mCounts.reset();
   if (aLink->IsReady() && aLink->Transaction() != TransactionState::None) {
     UpstreamCommand rollback;
     rollback.mType = CommandType::Rollback;
@@ -280,9 +388,14 @@
 LinkPool::Tick(Instant aNow)
 {
   std::vector<LinkPointer> late;
-  auto spare =
-    mEntries.size() - std::min<size_t>(mEntries.size(), mPlan.mMinimum);
-  for (const auto& it : mEntries) {
+  const size_t kept = std::max(mPlan.mMinimum, mPlan.mKept);
+  auto spare = mEntries.size() - std::min(mEntries.size(), kept);
+  auto entries = mEntries;
+  if (mHasAccounts) {
+    std::ranges::sort(
+      entries, {}, [](const auto& it) { return it.mLink->LastUsedAt(); });
+  }
+  for (const auto& it : entries) {
     const auto& link = it.mLink;
     const bool isOpening = link->GetState() == UpstreamLink::State::Opening;
     const bool isStuck =
@@ -290,10 +403,12 @@
     const bool isSpare = !it.mIsInUse && link->IsClean() && spare > 0 &&
                          aNow - link->LastUsedAt() >= mPlan.mIdleTimeout;
     spare -= isSpare ? 1 : 0;
+    const bool isUnneeded =
+      !it.mIsInUse && link->IsClean() && IsGone(link->Account());
     const bool isUnanswered =
       !it.mIsInUse && link->InFlightCount() > 0 &&
       aNow - link->WaitingSince() >= mSettings.mReleaseTimeout;
-    if (isStuck || isSpare || isUnanswered) {
+    if (isStuck || isSpare || isUnneeded || isUnanswered) {
       late.push_back(link);
     }
   }
--- a/Libraries/LibRelay/LinkPool.h
+++ b/Libraries/LibRelay/LinkPool.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibConfiguration/ClientAccounts.h"
+#include "LibDecision/AccountConnections.h"
 #include "LibDecision/ConnectionBudget.h"
 #include "LibRelay/UpstreamLink.h"
 
@@ -36,20 +38,40 @@
   ~LinkPool();
 
   void SetPlan(const ConnectionPlan& aPlan) { mPlan = aPlan; }
+  /// Idle links of accounts that are not among them are closed with the next
+  /// tick. Null when there are no accounts.
+  void SetAccounts(std::shared_ptr<const ClientAccounts> aAccounts)
+  {
+    mAccounts = std::move(aAccounts);
+    mHasAccounts |= mAccounts != nullptr;
+  }
+  /// Call before the waiting statements are dispatched. aAnswerTime is how long
+  /// a statement runs at the database.
+  void BeginDispatch(Duration aAnswerTime);
+  /// Records that a statement of an account waits for a link.
+  void ObserveWaiting(const std::string& aAccount) { ++mWaiting[aAccount]; }
 
   /// Whether a link of any account is free now.
   bool HasFree() const;
   /// Whether a link of a client account, which may be empty, is free now.
   bool HasFree(const std::string& aAccount) const;
-  /// Opens a link of an account when none of its own is free or opening. At the
-  /// limit of the plan, the free link of another account that was used least
-  /// recently is closed for it. aOnChange is called when the link is ready.
-  void OpenIfNoneFree(const std::string& aAccount);
+  /// Opens a link of an account when none of its own is free and
+  /// ChooseConnection decides so, at the limit of the plan after closing a free
+  /// link of another account. Without accounts, at most one link is opening at
+  /// a time. aOnChange is called when the link is ready. Returns what was
+  /// decided, or nothing without accounts and after a recent failure.
+  std::optional<ConnectionVerdict> OpenIfNoneFree(const std::string& aAccount);
+  /// How long a statement of an account that finds no free link waits for one,
+  /// or nothing when it would wait for other accounts or there are none.
+  std::optional<Duration> ExpectedDelay(const std::string& aAccount) const;
   /// Whether a link is opening that was started at or after aSince.
   bool IsOpeningSince(Instant aSince) const;
   bool IsOpeningSince(Instant aSince, const std::string& aAccount) const;
-  /// Whether the plan allows no more links.
-  bool IsAtLimit() const { return mEntries.size() >= mPlan.mAllowance; }
+  /// Whether the plan allows no more links, and a newer one may.
+  bool MayGrow() const
+  {
+    return mEntries.size() >= mPlan.mAllowance && mPlan.mMayGrow;
+  }
   /// Whether the plan keeps at least one link open while none is needed.
   bool KeepsIdleLink() const { return mPlan.mMinimum > 0; }
   /// Takes the free link of an account that needs the fewest preparation
@@ -83,6 +105,9 @@
   /// The error of the last link that failed, until another one opens.
   const std::optional<Error>& Failure() const { return mFailure; }
   std::function<void(const Error&)> mOnFailure;
+  /// Called when a link is opened, and when one is closed for another account.
+  std::function<void()> mOnOpening;
+  std::function<void()> mOnReplaced;
 
 private:
   struct Entry
@@ -92,8 +117,14 @@
   };
 
   void Open(const std::string& aAccount);
-  /// Makes room for another link by closing a free one of another account.
-  bool CloseForOther(const std::string& aAccount);
+  /// Closes the free link of an account that was used least recently.
+  void CloseFree(const std::string& aAccount);
+  ConnectionChoice Choose(const std::string& aAccount,
+                          unsigned aPosition) const;
+  unsigned WaitingCount(const std::string& aAccount) const;
+  std::vector<AccountConnections> CountByAccount() const;
+  /// Whether the account was removed from the configuration.
+  bool IsGone(const std::string& aAccount) const;
   LinkPointer AcquireWhere(
     const SessionState& aSession,
     const std::function<bool(const UpstreamLink&)>& aFilter);
@@ -103,7 +134,6 @@
   Duration RetryDelay(const Error& aError) const;
   static bool IsFree(const Entry& aEntry);
   unsigned OpeningCount() const;
-  bool IsOpening(const std::string& aAccount) const;
   void Remove(const LinkPointer& aLink);
 
   std::string mGroup;
@@ -119,6 +149,17 @@
   unsigned mFailures = 0;
   /// The account of the last statement that found no free link of its own.
   std::string mNextAccount;
+  /// Whether links of client accounts were ever needed.
+  bool mHasAccounts = false;
+  std::shared_ptr<const ClientAccounts> mAccounts;
+  AccountDemand mDemand;
+  Duration mAnswerTime{};
+  /// The result of CountByAccount, kept while a dispatch changes no link.
+  mutable std::optional<std::vector<AccountConnections>> mCounts;
+  /// The numbers of waiting statements by account, in this dispatch so far and
+  /// in the one before.
+  std::map<std::string, unsigned> mWaiting;
+  std::map<std::string, unsigned> mWaitingBefore;
   Instant mRetryAt;
 };
 
--- a/Libraries/LibRelay/PendingRequest.h
+++ b/Libraries/LibRelay/PendingRequest.h
@@ -22,6 +22,8 @@
   std::optional<Instant> mSentAt;
   Instant mLastSentAt;
   RelayVerdict mWaitsFor = RelayVerdict::WaitForConnection;
+  /// What was last decided on a connection of its account.
+  std::optional<ConnectionVerdict> mConnectionWait;
   /// Whether evidence that the primary leads must arrive before it is sent.
   bool mNeedsEvidence = false;
   /// The database whose connection it waits for with WaitForConnection.
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -34,6 +34,15 @@
   mPlacement = aPlacement;
 }
 
+void
+RelayGroup::SetAccounts(std::shared_ptr<const ClientAccounts> aAccounts)
+{
+  mAccounts = std::move(aAccounts);
+  for (const auto& [name, it] : mMembers) {
+    it.mPool->SetAccounts(mAccounts);
+  }
+}
+
 void
 RelayGroup::SetMembers(const std::vector<GroupMember>& aMembers)
 {
@@ -64,6 +73,9 @@
                                                 RunWaitingCommands();
                                                 Dispatch();
                                               });
+    member.mPool->SetAccounts(mAccounts);
+    member.mPool->mOnOpening = [this] { ++mCounts.mConnectionsOpened; };
+    member.mPool->mOnReplaced = [this] { ++mCounts.mConnectionsReplaced; };
     member.mPool->mOnFailure = [this, name = it.mName](const Error& aError) {
       if (!mView.IsFailing(name) &&
           aError.mKind != ErrorKind::ConnectionLimit) {
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -144,6 +144,15 @@
   uint64_t mTakeoverCommands = 0;
   /// Commands that set the session state of a connection.
   uint64_t mPreparations = 0;
+  /// Connections opened, and those closed for another account.
+  uint64_t mConnectionsOpened = 0;
+  uint64_t mConnectionsReplaced = 0;
+  /// Statements that waited for a connection of their account, by cause; see
+  /// ConnectionVerdict.
+  uint64_t mWaitsForOwnConnection = 0;
+  uint64_t mWaitsForOpening = 0;
+  uint64_t mWaitsForOpeningSlot = 0;
+  uint64_t mWaitsForOtherAccounts = 0;
 };
 
 /// Runs the statements for one group on one instance: manages connections,
@@ -167,6 +176,8 @@
   void SetMembers(const std::vector<GroupMember>& aMembers);
 
   void SetPlacement(const GroupPlacement& aPlacement);
+  /// The client accounts of the configuration; null when it has none.
+  void SetAccounts(std::shared_ptr<const ClientAccounts> aAccounts);
 
   void Submit(RelayRequest aRequest, OutcomeHandler aHandler) override;
   void Continue(const std::shared_ptr<OpenTransaction>& aTransaction,
@@ -251,8 +262,10 @@
   bool TryStart(const PendingRequestPointer& aPending);
   bool MayReceiveWork(const GroupMember& aMember, Instant aNow) const;
   void RequestConnection(const std::string& aBest,
-                         const std::string& aAccount,
-                         const RelayRequirements& aRequirements);
+                         const RelayRequirements& aRequirements,
+                         PendingRequest& aPending);
+  void CountConnectionWait(PendingRequest& aPending,
+                           std::optional<ConnectionVerdict> aVerdict);
   void RefreshConnectionPlan(const std::string& aName);
   bool IsSuspected(const GroupPrimary& aPrimary) const;
   /// Whether this instance can't run a statement that another one probably can.
@@ -362,6 +375,7 @@
   RelayCounts mCounts;
   RetryBudget mRetries;
   GroupPlacement mPlacement;
+  std::shared_ptr<const ClientAccounts> mAccounts;
   /// Until when this instance monitors the group although it is not home.
   Instant mActiveUntil;
   bool mIsStandingBy = false;
--- a/Libraries/LibRelay/RelayGroupControl.cpp
+++ b/Libraries/LibRelay/RelayGroupControl.cpp
@@ -269,11 +269,16 @@
 {
   auto& pool = *mMembers.at(aStatus.mUpstream).mPool;
   const auto slots = mView.FindMember(aStatus.mUpstream)->mSlots;
+  // An instance that is not home closes its connections soon.
+  const auto accounts = mAccounts && mPlacement.mIsHome
+                          ? static_cast<unsigned>(mAccounts->All().size())
+                          : 0U;
   auto plan = PlanConnections({ mConfiguration.mMaxConnections,
                                 aStatus.mConnections,
                                 static_cast<unsigned>(pool.Size()),
                                 mPlacement.mSharingInstances,
-                                slots });
+                                slots,
+                                accounts });
   if (!mPlacement.mIsHome) {
     plan.mMinimum = 0;
   }
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -2,9 +2,24 @@
 #include "LibRelay/RelayGroup.h"
 
 #include <algorithm>
+#include <array>
 
 namespace papayaline {
 
+namespace {
+
+/// By ConnectionVerdict; null where the connection is opened at once.
+constexpr std::array<uint64_t RelayCounts::*, 6> kWaitCounts = {
+  nullptr,
+  nullptr,
+  &RelayCounts::mWaitsForOwnConnection,
+  &RelayCounts::mWaitsForOpening,
+  &RelayCounts::mWaitsForOpeningSlot,
+  &RelayCounts::mWaitsForOtherAccounts,
+};
+
+}
+
 RelayRequirements
 RelayGroup::RequirementsOf(const RelayRequest& aRequest) const
 {
@@ -29,10 +44,14 @@
     const auto& member = mMembers.at(it.mName);
     RelayCandidate candidate;
     candidate.mName = it.mName;
-    candidate.mIsAvailable =
-      member.mPool->HasFree(aPending.mRequest.mAuthority.mAccount) &&
+    const auto& account = aPending.mRequest.mAuthority.mAccount;
+    const bool mayRun =
       member.mBusyUntil <= now &&
       member.mPool->RunningCount() < member.mConcurrency.Limit();
+    candidate.mIsAvailable = mayRun && member.mPool->HasFree(account);
+    if (mayRun && !candidate.mIsAvailable) {
+      candidate.mConnectionDelay = member.mPool->ExpectedDelay(account);
+    }
     candidate.mDistance = mEnvironment.mTopology.Between(
       mEnvironment.mFailureDomain, it.mFailureDomain);
     candidate.mIsExcluded = aPending.mExcludedUpstreams.contains(it.mName) ||
@@ -73,9 +92,7 @@
   }
   if (choice.mVerdict == RelayVerdict::WaitForConnection) {
     aPending->mWaitsAt = candidates[choice.mIndex].mName;
-    RequestConnection(candidates[choice.mIndex].mName,
-                      aPending->mRequest.mAuthority.mAccount,
-                      requirements);
+    RequestConnection(candidates[choice.mIndex].mName, requirements, *aPending);
   }
   if (choice.mVerdict != RelayVerdict::Run) {
     return false;
@@ -101,25 +118,41 @@
 /// only when that one takes longer than mTypicalOpenTime.
 void
 RelayGroup::RequestConnection(const std::string& aBest,
-                              const std::string& aAccount,
-                              const RelayRequirements& aRequirements)
+                              const RelayRequirements& aRequirements,
+                              PendingRequest& aPending)
 {
+  const auto& account = aPending.mRequest.mAuthority.mAccount;
   const auto& member = mMembers.at(aBest);
   auto& best = *member.mPool;
+  best.ObserveWaiting(account);
   if (best.RunningCount() >= member.mConcurrency.Limit()) {
     return;
   }
-  best.OpenIfNoneFree(aAccount);
+  CountConnectionWait(aPending, best.OpenIfNoneFree(account));
   RefreshConnectionPlan(aBest);
   const bool isPrimaryOnly =
     aRequirements.mNeedsPrimary || !aRequirements.mMaxAge;
   if (isPrimaryOnly ||
       best.IsOpeningSince(mEnvironment.mNow() - mSettings.mTypicalOpenTime,
-                          aAccount)) {
+                          account)) {
     return;
   }
   for (const auto& [name, it] : mMembers) {
-    it.mPool->OpenIfNoneFree(aAccount);
+    it.mPool->OpenIfNoneFree(account);
+  }
+}
+
+/// Counts a statement once for each cause that it waits for in turn.
+void
+RelayGroup::CountConnectionWait(PendingRequest& aPending,
+                                std::optional<ConnectionVerdict> aVerdict)
+{
+  if (!aVerdict || aPending.mConnectionWait == aVerdict) {
+    return;
+  }
+  aPending.mConnectionWait = aVerdict;
+  if (const auto count = kWaitCounts[static_cast<size_t>(*aVerdict)]) {
+    ++(mCounts.*count);
   }
 }
 
@@ -132,7 +165,7 @@
   const auto now = mEnvironment.mNow();
   const auto age =
     mSettings.mPlanRefreshInterval * std::max(mPlacement.mSharingInstances, 1U);
-  if (member.mPool->IsAtLimit() && !member.HasCallInFlight() &&
+  if (member.mPool->MayGrow() && !member.HasCallInFlight() &&
       member.mQueuedCommands.empty() && now - member.mPlanRequestedAt >= age) {
     member.mPlanRequestedAt = now;
     RequestStatus(aName, mCounts.mProbes);
--- a/Libraries/LibRelay/RelayGroupQueue.cpp
+++ b/Libraries/LibRelay/RelayGroupQueue.cpp
@@ -29,6 +29,9 @@
 {
   const auto now = mEnvironment.mNow();
   std::map<std::string, int> waiting;
+  for (const auto& [name, it] : mMembers) {
+    it.mPool->BeginDispatch(it.mConcurrency.AnswerTime());
+  }
   for (const auto& it : DispatchOrder()) {
     if (it->IsWaiting() && it->mNotBefore <= now) {
       TryStart(it);
--- a/Libraries/LibRelay/RelayRouter.cpp
+++ b/Libraries/LibRelay/RelayRouter.cpp
@@ -104,6 +104,7 @@
       entry.mRunner = mMakeRunner ? mMakeRunner(entry.mGroup) : entry.mGroup;
     }
     entry.mGroup->Configure(it);
+    entry.mGroup->SetAccounts(aConfiguration.mAccounts);
   }
   // A group that is not configured is removed once it is unused; one with open
   // transactions stays until a later configuration.
--- a/Tests/LibDecision/TestConnectionBudget.cpp
+++ b/Tests/LibDecision/TestConnectionBudget.cpp
@@ -1,5 +1,6 @@
 #include "LibDecision/ConnectionBudget.h"
 
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <numeric>
 #include <vector>
@@ -15,6 +16,9 @@
   CPPUNIT_TEST(OneForEachInstanceIsKeptUnderLoad);
   CPPUNIT_TEST(OnlyIdleConnectionIsClosedWhenTheReserveIsUsed);
   CPPUNIT_TEST(AlwaysOneIsAllowed);
+  CPPUNIT_TEST(HomeBesideTheDatabaseOfManyAccountsMayHoldThreeQuarters);
+  CPPUNIT_TEST(HomeShortOfConnectionsGetsSomeBackFromTheOthers);
+  CPPUNIT_TEST(FewAccountsDoNotChangeTheShare);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +89,49 @@
     CPPUNIT_ASSERT_EQUAL(1U, PlanConnections({ 46, 46, 0, 61 }).mAllowance);
     CPPUNIT_ASSERT_EQUAL(1U, PlanConnections({ 1, 5, 0, 1 }).mAllowance);
   }
+
+  /// Three homes, of which one has nearly all statements for a database with 56
+  /// connections.
+  void HomeBesideTheDatabaseOfManyAccountsMayHoldThreeQuarters()
+  {
+    unsigned own = 1;
+    for (int round = 0; round < 20; ++round) {
+      own = PlanConnections({ 56, own + 4, own, 3, 4, 83 }).mAllowance;
+    }
+    CPPUNIT_ASSERT_EQUAL(36U, own);
+    CPPUNIT_ASSERT(!PlanConnections({ 56, 40, 36, 3, 4, 83 }).mMayGrow);
+    // Without accounts, a third.
+    CPPUNIT_ASSERT_EQUAL(18U, PlanConnections({ 56, 40, 36, 3, 4 }).mAllowance);
+  }
+
+  /// One home has lost its database and needs connections to one that two
+  /// others have divided between them. Each opens what it may and closes what
+  /// it need not keep.
+  void HomeShortOfConnectionsGetsSomeBackFromTheOthers()
+  {
+    std::array<unsigned, 3> held{ 1, 33, 15 };
+    for (int round = 0; round < 30; ++round) {
+      for (auto& it : held) {
+        const auto total = std::accumulate(held.begin(), held.end(), 0U);
+        const auto plan = PlanConnections({ 56, total, it, 3, 4, 83 });
+        if (&it == &held[0]) {
+          it = std::max(it, plan.mAllowance);
+        } else if (total > UsableConnections(56)) {
+          it = std::min(it, std::max(plan.mKept, plan.mMinimum));
+        }
+        CPPUNIT_ASSERT(std::accumulate(held.begin(), held.end(), 0U) < 56);
+      }
+    }
+    CPPUNIT_ASSERT(held[0] >= 8);
+    CPPUNIT_ASSERT(held[1] >= 16);
+    CPPUNIT_ASSERT_EQUAL(15U, held[2]);
+  }
+
+  void FewAccountsDoNotChangeTheShare()
+  {
+    CPPUNIT_ASSERT_EQUAL(18U,
+                         PlanConnections({ 56, 20, 16, 3, 4, 9 }).mAllowance);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestConnectionBudget);
--- a/Tests/LibDecision/TestHomePlan.cpp
+++ b/Tests/LibDecision/TestHomePlan.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(PrimaryNeededHomeBesideItIsChosen);
   CPPUNIT_TEST(ReadHomeOfOwnDomainIsChosen);
   CPPUNIT_TEST(ReadWithoutOwnHomeAvoidsThePrimarysDomain);
+  CPPUNIT_TEST(ReadsOfAnAccountMeetOutsideThePrimarysDomain);
   CPPUNIT_TEST(HomesUnusableNextInOrderIsChosen);
   CPPUNIT_TEST(SmallFleetWatchesTheStoreDirectly);
   CPPUNIT_TEST(LargeFleetHasTwoWatchersInEachDomain);
@@ -211,6 +212,28 @@
     CPPUNIT_ASSERT((chosen == std::set<size_t>{ 0, 2 }));
   }
 
+  void ReadsOfAnAccountMeetOutsideThePrimarysDomain()
+  {
+    const std::vector candidates = { Candidate("x", "a", true),
+                                     Candidate("y", "b", true),
+                                     Candidate("z", "c", true) };
+    std::set<size_t> chosen;
+    for (int n = 0; n < 50; ++n) {
+      const auto account = "account" + std::to_string(n);
+      const auto home =
+        *ChooseHome({ "g", "i", "b", "b", false, account }, candidates);
+      chosen.insert(home);
+      CPPUNIT_ASSERT(
+        home == ChooseHome({ "g", "j", "b", "b", false, account }, candidates));
+      CPPUNIT_ASSERT(
+        ChooseHome({ "g", "i", "a", "b", false, account }, candidates) == 0U);
+      CPPUNIT_ASSERT(ChooseHome({ "g", "i", "b", "b", false, account, true },
+                                candidates) == 1U);
+    }
+    CPPUNIT_ASSERT((chosen == std::set<size_t>{ 0, 2 }));
+    CPPUNIT_ASSERT(ChooseHome({ "g", "i", "b", "b", false }, candidates) == 1U);
+  }
+
   void HomesUnusableNextInOrderIsChosen()
   {
     std::vector candidates = { Candidate("x", "a", true),
--- a/Tests/LibRelay/TestAccountConnections.cpp
+++ b/Tests/LibRelay/TestAccountConnections.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(MoreAccountsThanConnectionsAreAllServed);
   CPPUNIT_TEST(TransactionOfAnotherAccountIsRolledBack);
   CPPUNIT_TEST(StatusIsRequestedOnConnectionsOfAnyAccount);
+  CPPUNIT_TEST(ConnectionsOfAnAccountThatIsGoneAreClosed);
+  CPPUNIT_TEST(ReadWaitsForAConnectionToItsReplica);
   CPPUNIT_TEST(SessionValuesOnAReusedConnectionAreThoseOfItsSession);
   CPPUNIT_TEST_SUITE_END();
 
@@ -134,6 +136,40 @@
       primary.mOpenedFor, [](auto& it) { return it == AccountName(0); }));
   }
 
+  void ConnectionsOfAnAccountThatIsGoneAreClosed()
+  {
+    const auto callers = ConnectAccounts(3);
+    for (const auto& it : callers) {
+      it->Send("WRITE 1 x");
+    }
+    mFake->Run(100ms);
+    auto& primary = mFake->At("a");
+    CPPUNIT_ASSERT(primary.mConnections >= 3);
+    ClientAccount remaining;
+    remaining.mName = AccountName(0);
+    remaining.mKeys = { "key0" };
+    mFake->SetAccounts({ remaining });
+    mFake->Run(50ms);
+    // One of the remaining account, and the first one of the pool.
+    CPPUNIT_ASSERT(primary.mConnections <= 2);
+  }
+
+  /// Its account has a connection to the primary, whose slots writes need.
+  void ReadWaitsForAConnectionToItsReplica()
+  {
+    auto route = mFake->Configuration().mRoutes.front();
+    route.mFreshness = Freshness::BoundedStaleness;
+    route.mMaxAge = 1500ms;
+    mFake->SetRoute(route);
+    const auto callers = ConnectAccounts(1);
+    callers.front()->Send("WRITE 1 x");
+    mFake->Run(100ms);
+    callers.front()->Send("READ 1");
+    mFake->Run(100ms);
+    CPPUNIT_ASSERT(callers.front()->IsAnswered());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->At("b").mRan.size());
+  }
+
   void SessionValuesOnAReusedConnectionAreThoseOfItsSession()
   {
     const auto callers = ConnectAccounts(2);
--- a/Tests/LoadPatterns/LoadPatterns.cpp
+++ b/Tests/LoadPatterns/LoadPatterns.cpp
@@ -111,14 +111,63 @@
   return pattern;
 }
 
+/// More client accounts than connections, a few of them large; the slots are
+/// used to a third. No account has a connection when the load starts, as after
+/// a restart of all instances.
+LoadPattern
+ManyAccounts()
+{
+  LoadPattern pattern;
+  pattern.mName = "many-accounts";
+  pattern.mInstances = 3;
+  pattern.mSlots = 4;
+  pattern.mConnections = 56;
+  pattern.mAccounts = 83;
+  pattern.mLoads = { UrgentLoad(18), OwnLoad(85), AgedLoad(32) };
+  pattern.mFaultUntil = 2s;
+  pattern.mLength = 30s;
+  return pattern;
+}
+
+/// An account of middle size sends forty times its usual, which doubles the
+/// load.
+LoadPattern
+BurstOfOneAccount()
+{
+  auto pattern = ManyAccounts();
+  pattern.mName = "burst-of-one-account";
+  pattern.mBurstAccount = 7;
+  pattern.mBurstRate = 44;
+  pattern.mFaultFrom = 10s;
+  pattern.mFaultUntil = 20s;
+  return pattern;
+}
+
+/// The primary is lost; its connections go with it, and those to the next one
+/// must do for its work too.
+LoadPattern
+FailoverWithManyAccounts()
+{
+  auto pattern = ManyAccounts();
+  pattern.mName = "failover-with-many-accounts";
+  pattern.mPrimaryLostAfter = 100ms;
+  pattern.mFaultFrom = 10s;
+  pattern.mFaultUntil = 20s;
+  return pattern;
+}
+
 }
 
 std::span<const LoadPattern>
 LoadPatterns()
 {
-  static const std::array kPatterns = {
-    Quiet(), FlashCrowd(), ReplicasApplyLate(), FailoverToDeafReplica()
-  };
+  static const std::array kPatterns = { Quiet(),
+                                        FlashCrowd(),
+                                        ReplicasApplyLate(),
+                                        FailoverToDeafReplica(),
+                                        ManyAccounts(),
+                                        BurstOfOneAccount(),
+                                        FailoverWithManyAccounts() };
   return kPatterns;
 }
 
--- a/Tests/LoadPatterns/LoadWorld.cpp
+++ b/Tests/LoadPatterns/LoadWorld.cpp
@@ -1,9 +1,14 @@
 #include "LoadWorld.h"
 
+#include "LibDecision/HomePlan.h"
+
 #include "platform/LineCallerProtocol.h"
 #include "platform/LineUpstreamProtocol.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <stdexcept>
 
 namespace papayaline {
 
@@ -23,6 +28,12 @@
 constexpr double kServiceSpread = 0.7;
 constexpr unsigned kMaxAttempts = 3;
 
+std::string
+AccountName(size_t aIndex)
+{
+  return "account" + std::to_string(aIndex);
+}
+
 }
 
 /// A connection. Answers to commands that wait at a database arrive after they
@@ -30,12 +41,15 @@
 class LoadWorld::Channel : public UpstreamChannel
 {
 public:
-  Channel(LoadWorld& aWorld, std::string aDatabase, ChannelEvents aEvents)
+  Channel(LoadWorld& aWorld, ChannelTarget aTarget, ChannelEvents aEvents)
     : mWorld(aWorld)
-    , mDatabase(std::move(aDatabase))
+    , mDatabase(std::move(aTarget.mUpstream))
+    , mAccount(std::move(aTarget.mAccount))
     , mEvents(std::make_shared<ChannelEvents>(std::move(aEvents)))
   {
     auto& database = mWorld.Find(mDatabase);
+    ++mWorld.mOpenings;
+    mWorld.mFaultOpenings += mWorld.IsFault(mWorld.mNow) ? 1 : 0;
     StatementAnswer opened;
     if (++database.mConnections > mWorld.mPattern.mConnections) {
       opened.mError = Error{ ErrorKind::ConnectionLimit, "" };
@@ -75,6 +89,9 @@
       return;
     }
     mWorld.mStatusRequests += isStatement ? 0 : 1;
+    if (isStatement) {
+      mWorld.CheckAccount(*mWorld.mOperations.at(aCommand.mId), mAccount);
+    }
     const auto serviceTime =
       isStatement ? mWorld.mOperations.at(aCommand.mId)->mServiceTime
                   : Duration(kStatusTime);
@@ -109,6 +126,7 @@
 
   LoadWorld& mWorld;
   std::string mDatabase;
+  std::string mAccount;
   std::shared_ptr<ChannelEvents> mEvents;
 };
 
@@ -147,6 +165,15 @@
     configuration.mRoutes.push_back(it.mRoute);
   }
   configuration.mGroups = { { "g", mPattern.mConnections, 0 } };
+  if (mPattern.mAccounts > 0) {
+    std::vector<ClientAccount> accounts(mPattern.mAccounts);
+    for (size_t n = 0; n < accounts.size(); ++n) {
+      accounts[n].mName = AccountName(n);
+      accounts[n].mKeys = { "key" + std::to_string(n) };
+    }
+    configuration.mAccounts =
+      std::make_shared<const ClientAccounts>(std::move(accounts));
+  }
   std::vector<DirectoryEntry> entries;
   for (const auto& it : mDatabases) {
     DirectoryEntry entry;
@@ -189,8 +216,7 @@
   };
   environment.mOpenChannel = [this](const ChannelTarget& aTarget,
                                     ChannelEvents aEvents) {
-    return std::make_unique<Channel>(
-      *this, aTarget.mUpstream, std::move(aEvents));
+    return std::make_unique<Channel>(*this, aTarget, std::move(aEvents));
   };
   return environment;
 }
@@ -223,7 +249,9 @@
 LoadWorld::ScheduleArrivals(size_t aRoute)
 {
   const auto& load = mPattern.mLoads[aRoute];
-  const auto rate = load.mRate * (IsFault(mNow) ? mPattern.mFaultRate : 1);
+  const auto weights = AccountWeights();
+  const auto rate = load.mRate * (IsFault(mNow) ? mPattern.mFaultRate : 1) *
+                    std::accumulate(weights.begin(), weights.end(), 0.0);
   const std::chrono::duration<double> gap(
     std::exponential_distribution<>(rate)(mRandom));
   Schedule(std::chrono::duration_cast<Duration>(gap), [this, aRoute] {
@@ -255,6 +283,11 @@
   operation->mStartedAt = mNow;
   const bool isWrite =
     std::uniform_real_distribution<>(0, 1)(mRandom) < load.mWrites;
+  if (mPattern.mAccounts > 0) {
+    const auto weights = AccountWeights();
+    operation->mAccount = std::discrete_distribution<size_t>(
+      weights.begin(), weights.end())(mRandom);
+  }
   operation->mText = isWrite ? "WRITE 1 x" : "READ 1";
   const auto factor = std::lognormal_distribution<>(
     -kServiceSpread * kServiceSpread / 2, kServiceSpread)(mRandom);
@@ -268,16 +301,81 @@
   Attempt(operation);
 }
 
-void
-LoadWorld::Attempt(const OperationPointer& aOperation)
+/// The rates of the accounts, whose sum is 1 outside a burst of one.
+std::vector<double>
+LoadWorld::AccountWeights() const
+{
+  std::vector<double> weights;
+  for (size_t n = 0; n < std::max(mPattern.mAccounts, 1U); ++n) {
+    weights.push_back(
+      std::pow(static_cast<double>(n + 1), -mPattern.mAccountExponent));
+  }
+  const auto sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+  for (auto& it : weights) {
+    it /= sum;
+  }
+  if (mPattern.mBurstAccount && IsFault(mNow)) {
+    weights[*mPattern.mBurstAccount] *= mPattern.mBurstRate;
+  }
+  return weights;
+}
+
+size_t
+LoadWorld::ChooseInstance(const Operation& aOperation)
 {
+  const auto& route = mPattern.mLoads[aOperation.mRoute].mRoute;
+  const bool needsPrimary = route.mFreshness == Freshness::Latest ||
+                            aOperation.mText.starts_with("WRITE");
   const auto instance =
     std::uniform_int_distribution<size_t>(0, mInstances.size() - 1)(mRandom);
+  if (mPattern.mAccounts > 0) {
+    return ChooseHomeFor(aOperation, mDatabases[instance].mName, needsPrimary);
+  }
   // A retry goes to another instance.
-  aOperation->mInstance =
-    aOperation->mAttempts > 0 && instance == aOperation->mInstance
-      ? (instance + 1) % mInstances.size()
-      : instance;
+  return aOperation.mAttempts > 0 && instance == aOperation.mInstance
+           ? (instance + 1) % mInstances.size()
+           : instance;
+}
+
+size_t
+LoadWorld::ChooseHomeFor(const Operation& aOperation,
+                         const std::string& aDomain,
+                         bool aNeedsPrimary) const
+{
+  const auto primary =
+    std::ranges::max_element(mDatabases, {}, [](const auto& it) {
+      return std::pair(it.mRole == Role::Primary, it.mTerm);
+    });
+  std::vector<HomeCandidate> homes;
+  for (size_t n = 0; n < mInstances.size(); ++n) {
+    const auto& name = mDatabases[n].mName;
+    const bool isRetry = aOperation.mAttempts > 0 && aOperation.mInstance == n;
+    homes.push_back({ "home " + name, name, true, false, !isRetry });
+  }
+  return *ChooseHome({ "g",
+                       "caller " + aDomain,
+                       aDomain,
+                       primary->mName,
+                       aNeedsPrimary,
+                       AccountName(aOperation.mAccount) },
+                     homes);
+}
+
+void
+LoadWorld::CheckAccount(const Operation& aOperation,
+                        const std::string& aAccount) const
+{
+  const auto expected =
+    mPattern.mAccounts > 0 ? AccountName(aOperation.mAccount) : std::string();
+  if (aAccount != expected) {
+    throw std::logic_error("statement of " + expected + " ran for " + aAccount);
+  }
+}
+
+void
+LoadWorld::Attempt(const OperationPointer& aOperation)
+{
+  aOperation->mInstance = ChooseInstance(*aOperation);
   ++aOperation->mAttempts;
   aOperation->mSentAt = mNow;
   const auto id = "q" + std::to_string(++mLastId);
@@ -286,7 +384,7 @@
   aOperation->mSession = std::make_shared<RelaySession>(
     *mInstances[aOperation->mInstance],
     mPattern.mLoads[aOperation->mRoute].mRoute.mDatabase,
-    std::string(),
+    "key" + std::to_string(aOperation->mAccount),
     [this, weak](const StatementAnswer& aAnswer) {
       // The session must not be destroyed while it responds.
       Schedule(kOneWayDelay, [this, weak, aAnswer] {
@@ -371,6 +469,7 @@
   mStart = mNow;
   ScheduleFaults();
   const auto statusRequests = mStatusRequests;
+  const auto openings = mOpenings;
   for (size_t it = 0; it < mPattern.mLoads.size(); ++it) {
     ScheduleArrivals(it);
   }
@@ -380,6 +479,13 @@
   const auto busiest =
     std::ranges::max_element(mDatabases, {}, &Database::mBusyTime);
   const auto span = mPattern.mFaultUntil - mPattern.mFaultFrom;
+  mResult.mOpeningRate =
+    static_cast<double>(mOpenings - openings) /
+    std::chrono::duration<double>(mPattern.mLength).count();
+  mResult.mFaultOpeningRate = span > 0ms
+                                ? static_cast<double>(mFaultOpenings) /
+                                    std::chrono::duration<double>(span).count()
+                                : 0;
   mResult.mSlotUse = span > 0ms
                        ? std::chrono::duration<double>(busiest->mBusyTime) /
                            (span * mPattern.mSlots)
--- a/Tests/LoadPatterns/LoadWorld.h
+++ b/Tests/LoadPatterns/LoadWorld.h
@@ -46,6 +46,15 @@
   bool mIsReplicaDeaf = false;
   /// The primary is lost this long after the start of the fault, if at all.
   std::optional<Milliseconds> mPrimaryLostAfter;
+  /// The number of client accounts, whose shares of the load follow a Zipf
+  /// distribution. With accounts, each instance is the home of the group in the
+  /// failure domain of one database: statements for the primary meet at its
+  /// home.
+  unsigned mAccounts = 0;
+  double mAccountExponent = 1.2;
+  /// This account sends this many times its usual during the fault.
+  std::optional<size_t> mBurstAccount;
+  double mBurstRate = 1;
   Milliseconds mLength{ 10000 };
 };
 
@@ -80,6 +89,9 @@
   std::vector<RouteResult> mFaultRoutes;
   /// Status requests a second that the databases received.
   double mStatusRate = 0;
+  /// Connections a second that were opened, over the run and in the fault.
+  double mOpeningRate = 0;
+  double mFaultOpeningRate = 0;
   /// The share of its slots that the busiest database used during the fault.
   double mSlotUse = 0;
 
@@ -124,6 +136,7 @@
   struct Operation
   {
     size_t mRoute = 0;
+    size_t mAccount = 0;
     std::string mText;
     Instant mStartedAt;
     Instant mSentAt;
@@ -157,6 +170,14 @@
   void Schedule(Duration aDelay, std::function<void()> aRun);
 
   void StartOperation(size_t aRoute);
+  std::vector<double> AccountWeights() const;
+  /// Throws when a statement runs on a connection of another account.
+  void CheckAccount(const Operation& aOperation,
+                    const std::string& aAccount) const;
+  size_t ChooseInstance(const Operation& aOperation);
+  size_t ChooseHomeFor(const Operation& aOperation,
+                       const std::string& aDomain,
+                       bool aNeedsPrimary) const;
   void Attempt(const OperationPointer& aOperation);
   void OnResponse(const OperationPointer& aOperation,
                   const StatementAnswer& aAnswer);
@@ -184,6 +205,8 @@
   std::map<std::string, OperationPointer> mOperations;
   uint64_t mLastId = 0;
   uint64_t mStatusRequests = 0;
+  uint64_t mOpenings = 0;
+  uint64_t mFaultOpenings = 0;
   LoadResult mResult;
 };
 
--- a/Tests/LoadPatterns/TestLoadPatterns.cpp
+++ b/Tests/LoadPatterns/TestLoadPatterns.cpp
@@ -16,6 +16,9 @@
   CPPUNIT_TEST(OverloadedPrimarySpendsItsSlotsOnStatementsInTime);
   CPPUNIT_TEST(FlashCrowdIsServedOnceItHasPassed);
   CPPUNIT_TEST(ReadsAreServedWhileTheOnlyReplicaIsDeaf);
+  CPPUNIT_TEST(ManyAccountsShareFewConnections);
+  CPPUNIT_TEST(BurstOfOneAccountLeavesTheOthersTheirConnections);
+  CPPUNIT_TEST(FailoverWithManyAccountsIsServedOnceItHasPassed);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr unsigned kSeeds = 8;
@@ -47,6 +50,20 @@
            static_cast<double>(aResults.size());
   }
 
+  /// Checks that statements are in time, and that at most one in four opens a
+  /// connection: opening them then takes less than a fifth of the slot time
+  /// that statements do. Starting counts for the whole run.
+  static void CheckAccounts(const std::vector<LoadResult>& aResults,
+                            double aRate)
+  {
+    for (const auto& it : aResults) {
+      for (const auto& route : it.mRoutes) {
+        CPPUNIT_ASSERT(route.InTimeShare() >= 0.99);
+      }
+      CPPUNIT_ASSERT(it.mOpeningRate <= aRate / 4);
+    }
+  }
+
 public:
   void QuietLoadIsServedInTime()
   {
@@ -96,6 +113,35 @@
     CPPUNIT_ASSERT(FaultMean(results, kAged, &RouteResult::ServedShare) >=
                    0.72);
   }
+
+  /// 135 statements a second, and the first second after a restart of all.
+  void ManyAccountsShareFewConnections()
+  {
+    const auto results = Play("many-accounts");
+    CheckAccounts(results, 135);
+    for (const auto& it : results) {
+      for (const auto& route : it.mFaultRoutes) {
+        CPPUNIT_ASSERT(route.InTimeShare() >= 0.99);
+      }
+    }
+  }
+
+  /// The account's own statements don't count for the openings.
+  void BurstOfOneAccountLeavesTheOthersTheirConnections()
+  {
+    CheckAccounts(Play("burst-of-one-account"), 135);
+  }
+
+  /// Statements for the primary wait for the next one, 1.4 s of 10; reads
+  /// don't.
+  void FailoverWithManyAccountsIsServedOnceItHasPassed()
+  {
+    const auto results = Play("failover-with-many-accounts");
+    CPPUNIT_ASSERT(FaultMean(results, kUrgent, &RouteResult::ServedShare) >=
+                   0.86);
+    CPPUNIT_ASSERT(FaultMean(results, kAged, &RouteResult::InTimeShare) >=
+                   0.98);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestLoadPatterns);
--- a/Tests/LoadPatterns/main.cpp
+++ b/Tests/LoadPatterns/main.cpp
@@ -36,13 +36,15 @@
 Print(const LoadPattern& aPattern, unsigned aSeed, const LoadResult& aResult)
 {
   std::printf("%s seed %u: %u instances, %u slots, %.0f status requests/s, "
-              "slots used %.2f\n",
+              "slots used %.2f, %.1f openings/s, during the fault %.1f\n",
               aPattern.mName.c_str(),
               aSeed,
               aPattern.mInstances,
               aPattern.mSlots,
               aResult.mStatusRate,
-              aResult.mSlotUse);
+              aResult.mSlotUse,
+              aResult.mOpeningRate,
+              aResult.mFaultOpeningRate);
   for (size_t it = 0; it < aPattern.mLoads.size(); ++it) {
     const auto& route = aResult.mRoutes[it];
     const auto& fault = aResult.mFaultRoutes[it];
