Merge the decision on connections by account

LoadWorld keeps one description of accounts, those of the patterns of competition; the homes beside the databases are a placement of their own.

--- a/Libraries/LibDecision/HomePlan.cpp
+++ b/Libraries/LibDecision/HomePlan.cpp
@@ -84,7 +84,12 @@
   const bool isPrimary =
     aCandidate.mFailureDomain == aRequirements.mPrimaryDomain;
   // A home in the primary's domain forwards reads to replicas in other domains.
-  return { !isOwn && isPrimary ? wayToHome + aWayToReplica : wayToHome, {} };
+  if (isPrimary && !isOwn) {
+    return { wayToHome + aWayToReplica, {} };
+  }
+  const bool isLast = isPrimary && !aRequirements.mAccount.empty() &&
+                      !aRequirements.mHasReplicaBesidePrimary;
+  return { isLast ? aWayToReplica + aWayToReplica : wayToHome, {} };
 }
 
 }
@@ -153,8 +158,10 @@
       continue;
     }
     const auto tieBreaker = std::hash<std::string>()(
-      aRequirements.mGroup + '\n' + aRequirements.mInstance + '\n' +
-      candidate.mName);
+      aRequirements.mGroup + '\n' +
+      (aRequirements.mAccount.empty() ? aRequirements.mInstance
+                                      : aRequirements.mAccount) +
+      '\n' + candidate.mName);
     const Rank rank{ !candidate.mIsHome,
                      WaysOf(aRequirements, candidate, wayToReplica),
                      !candidate.mIsSelf,
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -137,6 +137,8 @@
                  self.mFailureDomain,
                  HomeDirectory::PrimaryDomain(*mGroup),
                  aPending.mRequest.Kind() == QueueKind::AtPrimary,
+                 aPending.mRequest.mAuthority.mAccount,
+                 HomeDirectory::HasReplicaBesidePrimary(*mGroup),
                  mHomes.GetTopology() },
                candidates);
   if (!choice) {
--- a/Libraries/LibRelay/RelayRouter.cpp
+++ b/Libraries/LibRelay/RelayRouter.cpp
@@ -205,6 +205,7 @@
     }
     entry.mGroup->Configure(it);
     entry.mGroup->SetSharePolicy({ aConfiguration, it.mName });
+    entry.mGroup->SetAccounts(aConfiguration.mAccounts);
   }
   // A group that is not configured is removed once it is unused; one with open
   // transactions stays until a later configuration.
--- a/Tests/LoadPatterns/LoadPatterns.cpp
+++ b/Tests/LoadPatterns/LoadPatterns.cpp
@@ -1,6 +1,8 @@
 #include "LoadPatterns.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace papayaline {
 
@@ -221,6 +223,67 @@
   return pattern;
 }
 
+constexpr size_t kManyAccounts = 83;
+/// Of the Zipf distribution of the accounts' shares.
+constexpr double kAccountExponent = 1.2;
+
+/// More client accounts than connections, a few of them large; the slots are
+/// used to a third. No account has a connection when the load starts, as after
+/// a restart of all instances.
+LoadPattern
+ManyAccounts()
+{
+  LoadPattern pattern;
+  pattern.mName = "many-accounts";
+  pattern.mInstances = 3;
+  pattern.mSlots = 4;
+  pattern.mConnections = 56;
+  pattern.mPlacement = HomePlacement::ByDomain;
+  for (size_t n = 0; n < kManyAccounts; ++n) {
+    pattern.mAccounts.push_back(
+      AccountOf("account" + std::to_string(n),
+                std::pow(static_cast<double>(n + 1), -kAccountExponent)));
+  }
+  const auto sum = std::accumulate(
+    pattern.mAccounts.begin(),
+    pattern.mAccounts.end(),
+    0.0,
+    [](double aSum, const auto& it) { return aSum + it.mShare; });
+  for (auto& it : pattern.mAccounts) {
+    it.mShare /= sum;
+  }
+  pattern.mLoads = { UrgentLoad(18), OwnLoad(85), AgedLoad(32) };
+  pattern.mFaultUntil = 2s;
+  pattern.mLength = 30s;
+  return pattern;
+}
+
+/// An account of middle size sends forty times its usual, which doubles the
+/// load.
+LoadPattern
+BurstOfOneAccount()
+{
+  auto pattern = ManyAccounts();
+  pattern.mName = "burst-of-one-account";
+  pattern.mAccounts[7].mFaultRate = 44;
+  pattern.mFaultFrom = 10s;
+  pattern.mFaultUntil = 20s;
+  return pattern;
+}
+
+/// The primary is lost; its connections go with it, and those to the next one
+/// must do for its work too.
+LoadPattern
+FailoverWithManyAccounts()
+{
+  auto pattern = ManyAccounts();
+  pattern.mName = "failover-with-many-accounts";
+  pattern.mPrimaryLostAfter = 100ms;
+  pattern.mFaultFrom = 10s;
+  pattern.mFaultUntil = 20s;
+  return pattern;
+}
+
 }
 
 std::span<const LoadPattern>
@@ -233,7 +296,10 @@
                                         CrowdOnLowRank(),
                                         OneAccountFarAboveItsUsual(),
                                         UrgentCrowdOnTop(),
-                                        AllRestarted() };
+                                        AllRestarted(),
+                                        ManyAccounts(),
+                                        BurstOfOneAccount(),
+                                        FailoverWithManyAccounts() };
   return kPatterns;
 }
 
--- a/Tests/LoadPatterns/LoadWorld.cpp
+++ b/Tests/LoadPatterns/LoadWorld.cpp
@@ -1,10 +1,13 @@
 #include "LoadWorld.h"
 
+#include "LibDecision/HomePlan.h"
+
 #include "platform/LineCallerProtocol.h"
 #include "platform/LineUpstreamProtocol.h"
 
 #include <algorithm>
 #include <numeric>
+#include <stdexcept>
 
 namespace papayaline {
 
@@ -34,13 +37,16 @@
 class LoadWorld::Channel : public UpstreamChannel
 {
 public:
-  Channel(LoadWorld& aWorld, std::string aDatabase, ChannelEvents aEvents)
+  Channel(LoadWorld& aWorld, ChannelTarget aTarget, ChannelEvents aEvents)
     : mWorld(aWorld)
-    , mDatabase(std::move(aDatabase))
+    , mDatabase(std::move(aTarget.mUpstream))
+    , mAccount(std::move(aTarget.mAccount))
     , mEvents(std::make_shared<ChannelEvents>(std::move(aEvents)))
     , mRestarts(aWorld.mRestarts)
   {
     auto& database = mWorld.Find(mDatabase);
+    ++mWorld.mOpenings;
+    mWorld.mFaultOpenings += mWorld.IsFault(mWorld.mNow) ? 1 : 0;
     StatementAnswer opened;
     if (++database.mConnections > mWorld.mPattern.mConnections) {
       opened.mError = Error{ ErrorKind::ConnectionLimit, "" };
@@ -85,6 +91,9 @@
       return;
     }
     mWorld.mStatusRequests += isStatement ? 0 : 1;
+    if (isStatement) {
+      mWorld.CheckAccount(*mWorld.mOperations.at(aCommand.mId), mAccount);
+    }
     const auto serviceTime =
       isStatement ? mWorld.mOperations.at(aCommand.mId)->mServiceTime
                   : Duration(kStatusTime);
@@ -122,6 +131,7 @@
 
   LoadWorld& mWorld;
   std::string mDatabase;
+  std::string mAccount;
   std::shared_ptr<ChannelEvents> mEvents;
   /// The restarts before the connection was opened; a later one closes it.
   unsigned mRestarts;
@@ -211,8 +221,7 @@
   };
   environment.mOpenChannel = [this](const ChannelTarget& aTarget,
                                     ChannelEvents aEvents) {
-    return std::make_unique<Channel>(
-      *this, aTarget.mUpstream, std::move(aEvents));
+    return std::make_unique<Channel>(*this, aTarget, std::move(aEvents));
   };
   return environment;
 }
@@ -345,18 +354,71 @@
   Attempt(operation);
 }
 
-void
-LoadWorld::Attempt(const OperationPointer& aOperation)
+std::string
+LoadWorld::AccountName(const Operation& aOperation) const
 {
-  const auto& home = mPattern.mLoads[aOperation->mRoute].mHome;
+  return mPattern.mAccounts.empty()
+           ? std::string()
+           : mPattern.mAccounts[aOperation.mAccount].mAccount.mName;
+}
+
+size_t
+LoadWorld::ChooseInstance(const Operation& aOperation)
+{
+  const auto& route = mPattern.mLoads[aOperation.mRoute].mRoute;
+  const bool needsPrimary = route.mFreshness == Freshness::Latest ||
+                            aOperation.mText.starts_with("WRITE");
+  const auto& home = mPattern.mLoads[aOperation.mRoute].mHome;
   const auto instance = home ? *home
                              : std::uniform_int_distribution<size_t>(
                                  0, mInstances.size() - 1)(mRandom);
+  if (mPattern.mPlacement == HomePlacement::ByDomain) {
+    return ChooseHomeFor(aOperation, mDatabases[instance].mName, needsPrimary);
+  }
   // A retry goes to another instance.
-  aOperation->mInstance =
-    aOperation->mAttempts > 0 && instance == aOperation->mInstance
-      ? (instance + 1) % mInstances.size()
-      : instance;
+  return aOperation.mAttempts > 0 && instance == aOperation.mInstance
+           ? (instance + 1) % mInstances.size()
+           : instance;
+}
+
+size_t
+LoadWorld::ChooseHomeFor(const Operation& aOperation,
+                         const std::string& aDomain,
+                         bool aNeedsPrimary) const
+{
+  const auto primary =
+    std::ranges::max_element(mDatabases, {}, [](const auto& it) {
+      return std::pair(it.mRole == Role::Primary, it.mTerm);
+    });
+  std::vector<HomeCandidate> homes;
+  for (size_t n = 0; n < mInstances.size(); ++n) {
+    const auto& name = mDatabases[n].mName;
+    const bool isRetry = aOperation.mAttempts > 0 && aOperation.mInstance == n;
+    homes.push_back({ "home " + name, name, true, false, !isRetry });
+  }
+  return *ChooseHome({ "g",
+                       "caller " + aDomain,
+                       aDomain,
+                       primary->mName,
+                       aNeedsPrimary,
+                       AccountName(aOperation) },
+                     homes);
+}
+
+void
+LoadWorld::CheckAccount(const Operation& aOperation,
+                        const std::string& aAccount) const
+{
+  const auto expected = AccountName(aOperation);
+  if (aAccount != expected) {
+    throw std::logic_error("statement of " + expected + " ran for " + aAccount);
+  }
+}
+
+void
+LoadWorld::Attempt(const OperationPointer& aOperation)
+{
+  aOperation->mInstance = ChooseInstance(*aOperation);
   if (!mInstances[aOperation->mInstance]) {
     Schedule(kReconnectDelay, [this, aOperation] {
       if (!aOperation->mIsDone) {
@@ -463,6 +525,7 @@
   mStart = mNow;
   ScheduleFaults();
   const auto statusRequests = mStatusRequests;
+  const auto openings = mOpenings;
   for (size_t it = 0; it < mPattern.mLoads.size(); ++it) {
     ScheduleArrivals(it);
   }
@@ -472,6 +535,13 @@
   const auto busiest =
     std::ranges::max_element(mDatabases, {}, &Database::mBusyTime);
   const auto span = mPattern.mFaultUntil - mPattern.mFaultFrom;
+  mResult.mOpeningRate =
+    static_cast<double>(mOpenings - openings) /
+    std::chrono::duration<double>(mPattern.mLength).count();
+  mResult.mFaultOpeningRate = span > 0ms
+                                ? static_cast<double>(mFaultOpenings) /
+                                    std::chrono::duration<double>(span).count()
+                                : 0;
   mResult.mSlotUse = span > 0ms
                        ? std::chrono::duration<double>(busiest->mBusyTime) /
                            (span * mPattern.mSlots)
--- a/Tests/LoadPatterns/LoadWorld.h
+++ b/Tests/LoadPatterns/LoadWorld.h
@@ -39,6 +39,15 @@
   double mFaultRate = 1;
 };
 
+/// Which instances run the statements of the group.
+enum class HomePlacement
+{
+  Everywhere,
+  /// Each instance is the home in the failure domain of one database:
+  /// statements for the primary meet at its home.
+  ByDomain,
+};
+
 /// A deployment and its load. Times count from the start of the run.
 struct LoadPattern
 {
@@ -64,6 +73,7 @@
   std::optional<Milliseconds> mPrimaryLostAfter;
   /// All instances are restarted at the start of the fault.
   bool mAreAllRestarted = false;
+  HomePlacement mPlacement = HomePlacement::Everywhere;
   Milliseconds mLength{ 10000 };
 };
 
@@ -100,6 +110,9 @@
   std::vector<RouteResult> mFaultAccounts;
   /// Status requests a second that the databases received.
   double mStatusRate = 0;
+  /// Connections a second that were opened, over the run and in the fault.
+  double mOpeningRate = 0;
+  double mFaultOpeningRate = 0;
   /// The share of its slots that the busiest database used during the fault.
   double mSlotUse = 0;
 
@@ -182,6 +195,15 @@
   void Schedule(Duration aDelay, std::function<void()> aRun);
 
   void StartOperation(size_t aRoute);
+  /// Empty where callers have no accounts.
+  std::string AccountName(const Operation& aOperation) const;
+  /// Throws when a statement runs on a connection of another account.
+  void CheckAccount(const Operation& aOperation,
+                    const std::string& aAccount) const;
+  size_t ChooseInstance(const Operation& aOperation);
+  size_t ChooseHomeFor(const Operation& aOperation,
+                       const std::string& aDomain,
+                       bool aNeedsPrimary) const;
   void Attempt(const OperationPointer& aOperation);
   void OnResponse(const OperationPointer& aOperation,
                   const StatementAnswer& aAnswer);
@@ -210,6 +232,8 @@
   uint64_t mLastId = 0;
   unsigned mRestarts = 0;
   uint64_t mStatusRequests = 0;
+  uint64_t mOpenings = 0;
+  uint64_t mFaultOpenings = 0;
   LoadResult mResult;
 };
 
