--- a/Tests/LibDecision/TestQuotas.cpp
+++ b/Tests/LibDecision/TestQuotas.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(LongPauseFillsTheStockToItsBoundOnly);
   CPPUNIT_TEST(TokensThatAreGivenAreGone);
   CPPUNIT_TEST(CollectionAnsweredTwiceOrLateBringsNothing);
+  CPPUNIT_TEST(BankKeepsNoMoreThanItsBound);
   CPPUNIT_TEST(UnusedBankGivesUpItsTokens);
   CPPUNIT_TEST(LowerCountIsBelievedAfterAMinute);
   CPPUNIT_TEST(NewInstanceMintsOnceOthersKnowIt);
@@ -108,6 +109,23 @@
       1, answers.front().mPayouts.front().mTokens, 1e-9);
   }
 
+  void BankKeepsNoMoreThanItsBound()
+  {
+    const auto bound = Shares(100, 100).at("account").mBankStock;
+    QuotaBank bank(QuotaTimesOf(5s, 0.1));
+    bank.SetInstances({ "x" });
+    bank.SetShares(Shares(100, 100));
+    bank.Withdraw(1, { { "account", 1, 1 } }, kStart);
+    const auto collections = bank.TakeCollections(kStart);
+    bank.OnCollected(
+      collections.front().mId, { { "account", 1000, 0ms } }, kStart + 5ms);
+    bank.TakeAnswers(kStart + 5ms);
+    bank.Withdraw(2, { { "account", 1000, 0 } }, kStart + 6ms);
+    const auto answers = bank.TakeAnswers(kStart + 6ms);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      bound, answers.front().mPayouts.front().mTokens, 1e-9);
+  }
+
   void UnusedBankGivesUpItsTokens()
   {
     QuotaBank bank(QuotaTimesOf(5s, 0.1));
