--- a/Libraries/LibPeer/QuotaExchange.cpp
+++ b/Libraries/LibPeer/QuotaExchange.cpp
@@ -1,7 +1,6 @@
 #include "LibPeer/QuotaExchange.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace papayaline {
@@ -96,8 +95,9 @@
   }
   mBank.SetShares(shares);
   if (!mIsMinting) {
-    std::ranges::for_each(std::views::values(shares),
-                          [](auto& it) { it.mMintPerSecond = 0; });
+    for (auto& [name, it] : shares) {
+      it.mMintPerSecond = 0;
+    }
   }
   mLedger.SetShares(shares, now);
   // Operations of accounts that are no longer limited need not wait.
@@ -217,9 +217,8 @@
   if (!aUrgentAccount.empty()) {
     const auto waiting =
       static_cast<double>(mAccounts.at(aUrgentAccount).mWaiting.size());
-    const auto needed =
-      std::max(
-        waiting - kLastingPart * mLedger.Stock(aUrgentAccount, now), 0.0);
+    const auto needed = std::max(
+      waiting - kLastingPart * mLedger.Stock(aUrgentAccount, now), 0.0);
     demands.push_back({ aUrgentAccount,
                         needed + mLedger.ShortfallOf(aUrgentAccount, now),
                         needed });
@@ -304,8 +303,9 @@
       mMembership.ObserveCount(answer.mInstances, now);
     }
     if (now - withdrawal.mSentAt < mTimes.mTransfer) {
-      std::ranges::for_each(answer.mPayouts,
-                            [&](const auto& payout) { OnPayout(payout); });
+      for (const auto& payout : answer.mPayouts) {
+        OnPayout(payout);
+      }
       return;
     }
   }
@@ -340,8 +340,8 @@
     account.mRefusedUntil = now + aPayout.mRetryAfter;
     RefuseWaiting(aPayout.mAccount, account);
   }
-  std::ranges::for_each(
-    admitted, [](const auto& handler) { handler(QuotaVerdict::Admitted); });
+  std::ranges::for_each(admitted,
+                        [](const auto& it) { it(QuotaVerdict::Admitted); });
 }
 
 void
@@ -528,9 +528,9 @@
     return counts;
   }
   QuotaAccountCounts other{ "other", 0, 0 };
-  for (const auto& it : counts | std::views::drop(aCount)) {
-    other.mAdmitted += it.mAdmitted;
-    other.mRefused += it.mRefused;
+  for (size_t n = aCount; n < counts.size(); ++n) {
+    other.mAdmitted += counts[n].mAdmitted;
+    other.mRefused += counts[n].mRefused;
   }
   counts.resize(aCount);
   counts.push_back(other);
