--- a/Tests/LibPeer/TestQuotaExchange.cpp
+++ b/Tests/LibPeer/TestQuotaExchange.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(InstancesCutOffFromPeersStayWithinTheBound);
   CPPUNIT_TEST(AllRestartedStaysWithinTheBound);
   CPPUNIT_TEST(FleetThatStartsForTheFirstTimeStaysWithinTheBound);
+  CPPUNIT_TEST(FleetThatStartsMintsBeforeItsCallersCome);
   CPPUNIT_TEST(InstancesAddedStayWithinTheBound);
   CPPUNIT_TEST(RestoredStoreListsFewInstancesStaysWithinTheBound);
   CPPUNIT_TEST(LoweredLimitHoldsAfterOneWindow);
@@ -302,6 +303,21 @@
     world.CheckBounds();
   }
 
+  void FleetThatStartsMintsBeforeItsCallersCome()
+  {
+    QuotaWorld world(kInstances, 18);
+    AddHotLoad(world);
+    const auto loads = std::exchange(world.mLoads, {});
+    for (size_t n = 0; n < kInstances; ++n) {
+      world.Start(n, StartListing::NotListed);
+      world.SetList(n, world.ListOf(kInstances));
+    }
+    world.Run(11s);
+    world.mLoads = loads;
+    world.Run(1s);
+    CPPUNIT_ASSERT(world.Admitted("large") > 100);
+  }
+
   /// Twenty instances join a fleet whose members don't list them for a while.
   void InstancesAddedStayWithinTheBound()
   {
