LibPeer: Let a share of statements leave the failure domain when that pays

Cause: a statement runs at the home nearest to its caller however long that takes. When one domain's demand exceeds what its home bears, its callers wait while homes of other domains have room.

Change: HomeExchange learns the answer times of a group's homes from the answers that arrive anyway, apart for what needs the primary and for reads. Metrics by distance, log entries when a share starts and ends. One domain, or an instance that is home to everything, behaves as before.

--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -17,6 +17,22 @@
          aRequest.mRoute.mFreshness == Freshness::Latest;
 }
 
+HomeTraffic
+TrafficOf(const RelayRequest& aRequest)
+{
+  return NeedsPrimary(aRequest) ? HomeTraffic::NeedsPrimary : HomeTraffic::Read;
+}
+
+size_t
+SizeOf(const RelayRequest& aRequest, const StatementAnswer& aAnswer)
+{
+  auto size = aRequest.mStatement.mText.size();
+  for (const auto& it : aAnswer.mRows) {
+    size += it.size();
+  }
+  return size;
+}
+
 /// Whether the route's timeout has passed. Nobody waits for the answer then.
 bool
 IsOverdue(const RelayRequest& aRequest, Instant aNow)
@@ -64,6 +80,7 @@
   , mClock(std::move(aClock))
   , mLog(std::move(aLog))
   , mCounts(aCounts)
+  , mExchange(mGroup->Name(), mHomes.Self().mName, mLog)
 {
 }
 
@@ -73,7 +90,78 @@
   const auto pending = std::make_shared<PendingRequest>();
   pending->mRequest = std::move(aRequest);
   pending->mHandler = std::move(aHandler);
-  Route(pending);
+  const auto peer = ChooseFirst(pending);
+  if (peer && *peer != mHomes.Self().mName) {
+    Forward(pending, *peer, 0);
+  } else {
+    RunLocally(pending);
+  }
+}
+
+/// Chooses the instance for a statement that none was tried for. While another
+/// home than the nearest one is available in another failure domain, a share of
+/// the statements goes there when that pays.
+std::optional<std::string>
+ForwardingRunner::ChooseFirst(const PendingRequestPointer& aPending)
+{
+  if (mHomes.PlanOf(*mGroup).mAreAllHome) {
+    return std::nullopt;
+  }
+  const auto requirements = RequirementsOf(*aPending);
+  auto candidates = Candidates(*aPending);
+  const auto near = ChooseHome(requirements, candidates);
+  if (!near) {
+    return std::nullopt;
+  }
+  const auto& nearest = candidates[*near];
+  for (auto& it : candidates) {
+    it.mIsUsable =
+      it.mIsUsable && it.mIsHome && it.mFailureDomain != nearest.mFailureDomain;
+  }
+  const auto far = ChooseHome(requirements, candidates);
+  const auto traffic = TrafficOf(aPending->mRequest);
+  const auto now = mClock();
+  if (!far || !nearest.mIsHome) {
+    mExchange.OnNoAlternative(traffic, now);
+    return nearest.mName;
+  }
+  const auto distanceTo = [&](const HomeCandidate& aHome) {
+    return mHomes.GetTopology().Between(requirements.mFailureDomain,
+                                        aHome.mFailureDomain);
+  };
+  aPending->mSentAt = now;
+  aPending->mExchanged =
+    mExchange.Choose(traffic,
+                     { nearest.mName,
+                       candidates[*far].mName,
+                       distanceTo(nearest),
+                       distanceTo(candidates[*far]) },
+                     aPending->mRequest.mRoute.mTargetLatency,
+                     now);
+  mCounts.mLeft += aPending->mExchanged->mHome != nearest.mName ? 1 : 0;
+  if (const auto share = mExchange.Share(); share > 0) {
+    mCounts.mLeavingShares[mGroup->Name()] = share;
+  } else {
+    mCounts.mLeavingShares.erase(mGroup->Name());
+  }
+  return aPending->mExchanged->mHome;
+}
+
+/// Tells mExchange how the first attempt of a statement ended. Later calls have
+/// no effect.
+void
+ForwardingRunner::EndExchange(PendingRequest& aPending,
+                              HomeExchange::Ending aEnding)
+{
+  if (const auto choice = std::exchange(aPending.mExchanged, std::nullopt)) {
+    const auto now = mClock();
+    mExchange.OnEnded(TrafficOf(aPending.mRequest),
+                      *choice,
+                      aEnding,
+                      now - aPending.mSentAt,
+                      aPending.mRequest.mRoute.mTargetLatency,
+                      now);
+  }
 }
 
 void
@@ -110,11 +198,20 @@
 ForwardingRunner::ChooseInstance(const PendingRequest& aPending) const
 {
   const auto& plan = mHomes.PlanOf(*mGroup);
-  const auto& self = mHomes.Self();
   const bool isExhausted = aPending.mTriedPeers.size() >= kMaxForwards;
   if (isExhausted || (plan.mAreAllHome && !aPending.mWasRefusedLocally)) {
     return std::nullopt;
   }
+  const auto candidates = Candidates(aPending);
+  const auto choice = ChooseHome(RequirementsOf(aPending), candidates);
+  return choice ? std::optional(candidates[*choice].mName) : std::nullopt;
+}
+
+std::vector<HomeCandidate>
+ForwardingRunner::Candidates(const PendingRequest& aPending) const
+{
+  const auto& plan = mHomes.PlanOf(*mGroup);
+  const auto& self = mHomes.Self();
   std::vector<HomeCandidate> candidates;
   for (size_t n = 0; n < plan.mRanked.size(); ++n) {
     const auto& it = plan.mRanked[n];
@@ -129,20 +226,26 @@
         : !aPending.mTriedPeers.contains(it.mName) && mPeers.IsUsable(it.mName);
     candidates.push_back(candidate);
   }
-  const auto choice = ChooseHome({ mGroup->Name(),
-                                   self.mName,
-                                   self.mFailureDomain,
-                                   HomeDirectory::PrimaryDomain(*mGroup),
-                                   NeedsPrimary(aPending.mRequest),
-                                   mHomes.GetTopology() },
-                                 candidates);
-  return choice ? std::optional(candidates[*choice].mName) : std::nullopt;
+  return candidates;
+}
+
+HomeRequirements
+ForwardingRunner::RequirementsOf(const PendingRequest& aPending) const
+{
+  const auto& self = mHomes.Self();
+  return { mGroup->Name(),
+           self.mName,
+           self.mFailureDomain,
+           HomeDirectory::PrimaryDomain(*mGroup),
+           NeedsPrimary(aPending.mRequest),
+           mHomes.GetTopology() };
 }
 
 void
 ForwardingRunner::RunLocally(const PendingRequestPointer& aPending)
 {
   mGroup->Submit(aPending->mRequest, [=, this](const RelayOutcome& aOutcome) {
+    EndExchange(*aPending, HomeExchange::EndingOf(aOutcome.mAnswer));
     const auto& error = aOutcome.mAnswer.mError;
     if (error && !aPending->mWasRefusedLocally &&
         MayReroute(*aPending, *error)) {
@@ -177,6 +280,8 @@
 {
   ++(aPending->mTriedPeers.empty() ? mCounts.mForwarded : mCounts.mRerouted);
   aPending->mTriedPeers.insert(aPeer);
+  const auto distance = static_cast<size_t>(mHomes.DistanceTo(*mGroup, aPeer));
+  ++mCounts.mByDistance[distance];
   auto statement = MakeForwardStatement(aPending->mRequest, mClock());
   statement.mTransaction = aTransaction;
   mPendingRequests.push_back(aPending);
@@ -184,6 +289,12 @@
     aPeer, std::move(statement), [=, this](const ForwardOutcome& aOutcome) {
       aPending->mCallId = 0;
       std::erase(mPendingRequests, aPending);
+      const bool isAnswered = aOutcome.mKind == ForwardOutcome::Kind::Answered;
+      mCounts.mBytesByDistance[distance] +=
+        isAnswered ? SizeOf(aPending->mRequest, aOutcome.mAnswer) : 0;
+      EndExchange(*aPending,
+                  isAnswered ? HomeExchange::EndingOf(aOutcome.mAnswer)
+                             : HomeExchange::Ending::Overloaded);
       OnOutcome(aPending, aPeer, aOutcome);
     });
 }
@@ -316,6 +427,7 @@
     const bool isCancelled = it->mRequest.mSession.get() == &aSession;
     if (isCancelled) {
       isUnsent |= mPeers.Cancel(it->mCallId);
+      EndExchange(*it, HomeExchange::Ending::Other);
     }
     return isCancelled;
   });
--- a/Libraries/LibPeer/ForwardingRunner.h
+++ b/Libraries/LibPeer/ForwardingRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibPeer/HomeDirectory.h"
+#include "LibPeer/HomeExchange.h"
 #include "LibPeer/PeerPool.h"
 
 #include <list>
@@ -14,6 +15,14 @@
   uint64_t mRerouted = 0;
   /// Forwarded because this instance is partitioned from the group.
   uint64_t mDetours = 0;
+  /// Sent to another home than the nearest one, because leaving pays.
+  uint64_t mLeft = 0;
+  /// Statements forwarded, and the size of the texts and rows of those
+  /// answered, in bytes, by Distance.
+  std::array<uint64_t, 3> mByDistance{};
+  std::array<uint64_t, 3> mBytesByDistance{};
+  /// The share that leaves the nearest home, by group; only those above 0.
+  std::map<std::string, double> mLeavingShares;
 };
 
 /// Runs the statements of this instance's callers on one group: locally when
@@ -55,6 +64,9 @@
     bool mWasRefusedLocally = false;
     /// The statement belongs to a transaction that is open at another instance.
     bool mIsInOpenTransaction = false;
+    /// The home that HomeExchange chose, until the statement ends there.
+    std::optional<HomeExchange::Choice> mExchanged;
+    Instant mSentAt;
   };
   using PendingRequestPointer = std::shared_ptr<PendingRequest>;
 
@@ -62,6 +74,10 @@
   void Reroute(const PendingRequestPointer& aPending, const std::string& aPeer);
   std::optional<std::string> ChooseInstance(
     const PendingRequest& aPending) const;
+  std::vector<HomeCandidate> Candidates(const PendingRequest& aPending) const;
+  HomeRequirements RequirementsOf(const PendingRequest& aPending) const;
+  std::optional<std::string> ChooseFirst(const PendingRequestPointer& aPending);
+  void EndExchange(PendingRequest& aPending, HomeExchange::Ending aEnding);
   void RunLocally(const PendingRequestPointer& aPending);
   void Forward(const PendingRequestPointer& aPending,
                const std::string& aPeer,
@@ -86,6 +102,7 @@
   PeerPool::Clock mClock;
   PeerPool::LogSink mLog;
   ForwardCounts& mCounts;
+  HomeExchange mExchange;
   std::list<PendingRequestPointer> mPendingRequests;
 };
 
--- a/Libraries/LibPeer/HomeDirectory.cpp
+++ b/Libraries/LibPeer/HomeDirectory.cpp
@@ -48,6 +48,17 @@
   return cached.mPlan;
 }
 
+Distance
+HomeDirectory::DistanceTo(const RelayGroup& aGroup,
+                          const std::string& aInstance)
+{
+  const auto& ranked = PlanOf(aGroup).mRanked;
+  const auto it = std::ranges::find(ranked, aInstance, &InstanceInfo::mName);
+  return it != ranked.end()
+           ? mTopology.Between(mSelf.mFailureDomain, it->mFailureDomain)
+           : Distance::SameRegion;
+}
+
 void
 HomeDirectory::Refresh()
 {
--- a/Libraries/LibPeer/HomeDirectory.h
+++ b/Libraries/LibPeer/HomeDirectory.h
@@ -25,6 +25,9 @@
   const Topology& GetTopology() const { return mTopology; }
   /// Precondition: a configuration names the group.
   const HomePlan& PlanOf(const RelayGroup& aGroup);
+  /// The distance to an instance that statements of the group are forwarded to;
+  /// the same region when the plan does not name it any more.
+  Distance DistanceTo(const RelayGroup& aGroup, const std::string& aInstance);
   /// The failure domain of the primary that the directory lists; empty when it
   /// lists none.
   static std::string PrimaryDomain(const RelayGroup& aGroup);
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -52,6 +52,13 @@
                                        "write",
                                        "refusal" };
 
+/// By Distance.
+constexpr std::array kDistanceNames = { "same_domain",
+                                        "same_region",
+                                        "other_region" };
+/// Bounds the series of the shares that leave the nearest home.
+constexpr size_t kMaxShareSeries = 32;
+
 int sSignalPipe[2] = { -1, -1 };
 
 void
@@ -284,6 +291,21 @@
   add("forwarded_total", {}, mForwardCounts.mForwarded);
   add("rerouted_total", {}, mForwardCounts.mRerouted);
   add("detours_total", {}, mForwardCounts.mDetours);
+  add("left_domain_total", {}, mForwardCounts.mLeft);
+  for (size_t n = 0; n < kDistanceNames.size(); ++n) {
+    const auto label = "{distance=\"" + QByteArray(kDistanceNames[n]) + "\"}";
+    add("forwarded_by_distance_total", label, mForwardCounts.mByDistance[n]);
+    add("forwarded_bytes_total", label, mForwardCounts.mBytesByDistance[n]);
+  }
+  size_t series = 0;
+  for (const auto& [group, share] : mForwardCounts.mLeavingShares) {
+    if (series++ == kMaxShareSeries) {
+      break;
+    }
+    add("leaving_share_percent",
+        "{group=\"" + QByteArray::fromStdString(group) + "\"}",
+        static_cast<uint64_t>(share * 100));
+  }
   add("served_for_peers_total", {}, mPeerServer.ServedCount());
   return text + Metrics::Instance().LatenciesToText();
 }
--- a/Tests/LibPeer/SimulatedFleet.cpp
+++ b/Tests/LibPeer/SimulatedFleet.cpp
@@ -186,12 +186,11 @@
 
   void Send(const PeerMessage& aMessage) override
   {
-    auto& from = mFleet.At(mLink->mFrom);
-    if (from.mIsPartitioned || mFleet.At(mLink->mTo).mIsPartitioned) {
+    if (!mFleet.IsReachable(mLink->mFrom, mLink->mTo)) {
       return;
     }
     const auto bytes = EncodePeerMessage(aMessage);
-    mFleet.Schedule(mLink->mTo, [link = mLink, bytes] {
+    mFleet.ScheduleMessage(mLink->mFrom, mLink->mTo, [link = mLink, bytes] {
       if (link->mSession) {
         const auto message = DecodePeerMessage(bytes);
         if (message.IsError() ||
@@ -207,8 +206,11 @@
   std::shared_ptr<Link> mLink;
 };
 
-SimulatedFleet::SimulatedFleet(size_t aCount, std::vector<std::string> aDomains)
-  : mDatabases(std::make_unique<FakeUpstreams>())
+SimulatedFleet::SimulatedFleet(size_t aCount,
+                               std::vector<std::string> aDomains,
+                               Topology aTopology)
+  : mTopology(std::move(aTopology))
+  , mDatabases(std::make_unique<FakeUpstreams>())
 {
   FakeStore::Reset();
   // FakeUpstreams has an instance of its own, which takes no part here.
@@ -252,6 +254,7 @@
   const auto log = [](const std::string&, const auto&) {};
   auto environment = mDatabases->MakeEnvironment();
   environment.mFailureDomain = aDomain;
+  environment.mTopology = mTopology;
   environment.mOpenChannel = [it, open = environment.mOpenChannel](
                                ChannelTarget aTarget, ChannelEvents aEvents) {
     ++it->mOpenedConnections;
@@ -271,7 +274,7 @@
       link->mEvents = std::move(aEvents);
       mLinks.push_back(link);
       const auto isReachable = [=, this] {
-        return !At(link->mFrom).mIsPartitioned && !At(link->mTo).mIsPartitioned;
+        return IsReachable(link->mFrom, link->mTo);
       };
       if (!At(link->mTo).mIsAlive) {
         Schedule(from, [=, this] { CloseLink(link); });
@@ -282,7 +285,7 @@
             if (!isReachable()) {
               return;
             }
-            Schedule(link->mFrom, [link, bytes] {
+            ScheduleMessage(link->mTo, link->mFrom, [link, bytes] {
               // The handler may destroy the channel and its events, so it is
               // called through a copy.
               const auto onMessage = link->mEvents.mOnMessage;
@@ -304,7 +307,8 @@
     },
     now,
     log);
-  it->mHomes = std::make_unique<HomeDirectory>(it->mInfo, *it->mRouter);
+  it->mHomes =
+    std::make_unique<HomeDirectory>(it->mInfo, *it->mRouter, mTopology);
   it->mDirectStore = std::make_unique<FakeStore>(now);
   it->mStore = std::make_unique<SharedObjectStore>(
     *it->mDirectStore, *it->mPeers, it->mInfo, now, log);
@@ -387,6 +391,37 @@
   mEvents.push_back({ mDatabases->Now() + kOneWayDelay, aTo, std::move(aRun) });
 }
 
+void
+SimulatedFleet::ScheduleMessage(const std::string& aFrom,
+                                const std::string& aTo,
+                                std::function<void()> aRun)
+{
+  const auto now = mDatabases->Now();
+  auto& to = At(aTo);
+  auto at = now + kOneWayDelay;
+  if (mTopology.Between(At(aFrom).mInfo.mFailureDomain,
+                        to.mInfo.mFailureDomain) == Distance::OtherRegion) {
+    mRegionLinkBusyUntil =
+      std::max(mRegionLinkBusyUntil, now) + mRegionMessageTime;
+    at = mRegionLinkBusyUntil + kOneWayDelay;
+  }
+  to.mBusyUntil = std::max(to.mBusyUntil, at) + to.mMessageTime;
+  mEvents.push_back({ to.mBusyUntil, aTo, std::move(aRun) });
+}
+
+bool
+SimulatedFleet::IsReachable(const std::string& aFrom, const std::string& aTo)
+{
+  const auto& from = At(aFrom);
+  const auto& to = At(aTo);
+  const auto isCut = [&](const Instance& aInstance) {
+    return mCutDomains.contains(aInstance.mInfo.mFailureDomain);
+  };
+  const bool isOneDomain = from.mInfo.mFailureDomain == to.mInfo.mFailureDomain;
+  return !from.mIsPartitioned && !to.mIsPartitioned &&
+         (isOneDomain || (!isCut(from) && !isCut(to)));
+}
+
 bool
 SimulatedFleet::IsRunning(const Instance& aInstance) const
 {
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -103,12 +103,18 @@
     Instant mFrozenUntil;
     /// Messages to and from other instances are lost.
     bool mIsPartitioned = false;
+    /// The time that a message takes at the instance, one after the other: what
+    /// its processor share or its link bears.
+    Duration mMessageTime{};
+    Instant mBusyUntil;
     /// Databases that the instance can't connect to.
     std::set<std::string> mUnreachableDatabases;
   };
 
   /// Creates aCount instances, assigned to aDomains in turn.
-  SimulatedFleet(size_t aCount, std::vector<std::string> aDomains);
+  SimulatedFleet(size_t aCount,
+                 std::vector<std::string> aDomains,
+                 Topology aTopology = {});
   ~SimulatedFleet();
 
   FakeUpstreams& Databases() { return *mDatabases; }
@@ -129,6 +135,11 @@
   /// Sets the time between two ticks of all instances, which is longer when
   /// they are short of processor time.
   void SetTickInterval(Milliseconds aInterval) { mTickInterval = aInterval; }
+  /// The time that a message takes on the link between two regions, one after
+  /// the other.
+  Duration mRegionMessageTime{};
+  /// Domains whose messages to and from others are lost.
+  std::set<std::string> mCutDomains;
   /// Runs a function at an instance after a delay.
   void RunAfter(const std::string& aInstance,
                 Duration aDelay,
@@ -157,9 +168,15 @@
   void Add(size_t aIndex, const std::string& aDomain);
   void Step();
   void Schedule(const std::string& aTo, std::function<void()> aRun);
+  void ScheduleMessage(const std::string& aFrom,
+                       const std::string& aTo,
+                       std::function<void()> aRun);
+  bool IsReachable(const std::string& aFrom, const std::string& aTo);
   bool IsRunning(const Instance& aInstance) const;
   void CloseLink(const std::shared_ptr<Link>& aLink);
 
+  Topology mTopology;
+  Instant mRegionLinkBusyUntil;
   std::unique_ptr<FakeUpstreams> mDatabases;
   // Declared before the instances, whose channels use them on destruction.
   std::deque<Event> mEvents;
