--- a/Libraries/LibDecision/HomePlan.cpp
+++ b/Libraries/LibDecision/HomePlan.cpp
@@ -47,6 +47,13 @@
            aDistance == Distance::SameRegion ? 1U : 0U };
 }
 
+const Topology&
+TopologyOf(const HomeRequirements& aRequirements)
+{
+  static const Topology sOneRegion;
+  return aRequirements.mTopology ? *aRequirements.mTopology : sOneRegion;
+}
+
 /// The way from a home in the primary's domain to the nearest replica. Homes
 /// are beside the databases, so another home's domain has one.
 Crossings
@@ -57,8 +64,9 @@
   for (const auto& it : aCandidates) {
     if (it.mIsHome && it.mFailureDomain != aRequirements.mPrimaryDomain) {
       nearest = std::min(nearest,
-                         CrossingsOf(aRequirements.mTopology.Between(
-                           aRequirements.mPrimaryDomain, it.mFailureDomain)));
+                         CrossingsOf(TopologyOf(aRequirements)
+                                       .Between(aRequirements.mPrimaryDomain,
+                                                it.mFailureDomain)));
     }
   }
   return nearest;
@@ -72,7 +80,7 @@
        const HomeCandidate& aCandidate,
        const Crossings& aWayToReplica)
 {
-  const auto& topology = aRequirements.mTopology;
+  const auto& topology = TopologyOf(aRequirements);
   const auto wayToHome = CrossingsOf(
     topology.Between(aRequirements.mFailureDomain, aCandidate.mFailureDomain));
   if (aRequirements.mNeedsPrimary) {
--- a/Libraries/LibDecision/HomePlan.h
+++ b/Libraries/LibDecision/HomePlan.h
@@ -74,7 +74,8 @@
   std::string mAccount{};
   /// Whether a replica is in the primary's domain.
   bool mHasReplicaBesidePrimary = false;
-  Topology mTopology{};
+  /// Null when all domains are in one region.
+  const Topology* mTopology = nullptr;
 };
 
 /// Chooses the instance that runs a statement. Homes are preferred, then
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -17,6 +17,23 @@
   return static_cast<double>(std::hash<std::string>()(aId) % kSteps) / kSteps;
 }
 
+HomeTraffic
+TrafficOf(const RelayRequest& aRequest)
+{
+  return aRequest.Kind() == QueueKind::AtPrimary ? HomeTraffic::NeedsPrimary
+                                                 : HomeTraffic::Read;
+}
+
+size_t
+SizeOf(const RelayRequest& aRequest, const StatementAnswer& aAnswer)
+{
+  auto size = aRequest.mStatement.mText.size();
+  for (const auto& it : aAnswer.mRows) {
+    size += it.size();
+  }
+  return size;
+}
+
 /// Whether the route's timeout has passed. Nobody waits for the answer then.
 bool
 IsOverdue(const RelayRequest& aRequest, Instant aNow)
@@ -61,6 +78,7 @@
   , mClock(std::move(aClock))
   , mLog(std::move(aLog))
   , mCounts(aCounts)
+  , mExchange(mGroup->Name(), mHomes.Self().mName, mLog)
 {
 }
 
@@ -70,25 +88,103 @@
   const auto pending = std::make_shared<PendingRequest>();
   pending->mRequest = std::move(aRequest);
   pending->mHandler = std::move(aHandler);
-  Route(pending);
+  const auto choice = ChooseFirst(pending);
+  if (choice.IsError()) {
+    RefuseForWait(pending, choice.GetError());
+  } else {
+    Send(pending, choice.Value());
+  }
 }
 
 void
-ForwardingRunner::Route(const PendingRequestPointer& aPending)
+ForwardingRunner::Send(const PendingRequestPointer& aPending,
+                       const std::optional<std::string>& aInstance)
 {
-  const auto choice = ChooseInstance(*aPending);
-  if (choice.IsError()) {
-    RefuseForWait(aPending, choice.GetError());
-    return;
-  }
-  const auto& peer = choice.Value();
-  if (peer && *peer != mHomes.Self().mName) {
-    Forward(aPending, *peer, 0);
+  if (aInstance && *aInstance != mHomes.Self().mName) {
+    Forward(aPending, *aInstance, 0);
   } else {
     RunLocally(aPending);
   }
 }
 
+Result<std::optional<std::string>>
+ForwardingRunner::ChooseFirst(const PendingRequestPointer& aPending)
+{
+  if (mHomes.PlanOf(*mGroup).mAreAllHome) {
+    return std::optional<std::string>();
+  }
+  const auto candidates = Candidates(*aPending);
+  const auto nearest = ChooseHome(RequirementsOf(*aPending), candidates);
+  if (!nearest) {
+    return std::optional<std::string>();
+  }
+  const auto preferred = ChooseDomain(aPending, candidates, *nearest);
+  const auto home = ChooseForWait(*aPending, candidates, preferred);
+  if (home.IsError() || home.Value() != preferred) {
+    EndExchange(*aPending, HomeExchange::Ending::Other);
+  }
+  return std::optional(candidates[PL_TRY(home)].mName);
+}
+
+size_t
+ForwardingRunner::ChooseDomain(const PendingRequestPointer& aPending,
+                               std::span<const HomeCandidate> aCandidates,
+                               size_t aNearest)
+{
+  const auto& nearest = aCandidates[aNearest];
+  const auto requirements = RequirementsOf(*aPending);
+  std::vector<HomeCandidate> others(aCandidates.begin(), aCandidates.end());
+  for (auto& it : others) {
+    it.mIsUsable =
+      it.mIsUsable && it.mIsHome && it.mFailureDomain != nearest.mFailureDomain;
+  }
+  const auto far = ChooseHome(requirements, others);
+  const auto traffic = TrafficOf(aPending->mRequest);
+  const auto now = mClock();
+  if (!far || !nearest.mIsHome) {
+    mExchange.OnNoAlternative(traffic, now);
+    return aNearest;
+  }
+  const auto distanceTo = [&](const HomeCandidate& aHome) {
+    return mHomes.GetTopology().Between(requirements.mFailureDomain,
+                                        aHome.mFailureDomain);
+  };
+  aPending->mSentAt = now;
+  aPending->mExchanged =
+    mExchange.Choose(traffic,
+                     { nearest.mName,
+                       aCandidates[*far].mName,
+                       distanceTo(nearest),
+                       distanceTo(aCandidates[*far]) },
+                     aPending->mRequest.mRoute.mTargetLatency,
+                     now);
+  const bool isLeaving = aPending->mExchanged->mHome != nearest.mName;
+  mCounts.mLeft += isLeaving ? 1 : 0;
+  if (const auto share = mExchange.Share(); share > 0) {
+    mCounts.mLeavingShares[mGroup->Name()] = share;
+  } else {
+    mCounts.mLeavingShares.erase(mGroup->Name());
+  }
+  return isLeaving ? *far : aNearest;
+}
+
+/// Tells mExchange how the first attempt of a statement ended. Later calls have
+/// no effect.
+void
+ForwardingRunner::EndExchange(PendingRequest& aPending,
+                              HomeExchange::Ending aEnding)
+{
+  if (const auto choice = std::exchange(aPending.mExchanged, std::nullopt)) {
+    const auto now = mClock();
+    mExchange.OnEnded(TrafficOf(aPending.mRequest),
+                      *choice,
+                      aEnding,
+                      now - aPending.mSentAt,
+                      aPending.mRequest.mRoute.mTargetLatency,
+                      now);
+  }
+}
+
 /// Runs a statement again that has had no effect at aPeer, unless the route's
 /// timeout has passed.
 void
@@ -101,22 +197,31 @@
       aPeer,
       { ErrorKind::DeadlinePassed, "no instance ran the statement in time" });
   } else {
-    Route(aPending);
+    Send(aPending, ChooseInstance(*aPending));
   }
 }
 
 /// Returns the instance that is to run the statement; it may be this one. Empty
 /// when all instances are home to the group and this one has not refused the
 /// statement, when kMaxForwards instances were tried, or when none is usable.
-Result<std::optional<std::string>>
-ForwardingRunner::ChooseInstance(const PendingRequest& aPending)
+std::optional<std::string>
+ForwardingRunner::ChooseInstance(const PendingRequest& aPending) const
 {
   const auto& plan = mHomes.PlanOf(*mGroup);
-  const auto& self = mHomes.Self();
   const bool isExhausted = aPending.mTriedPeers.size() >= kMaxForwards;
   if (isExhausted || (plan.mAreAllHome && !aPending.mWasRefusedLocally)) {
-    return std::optional<std::string>();
+    return std::nullopt;
   }
+  const auto candidates = Candidates(aPending);
+  const auto choice = ChooseHome(RequirementsOf(aPending), candidates);
+  return choice ? std::optional(candidates[*choice].mName) : std::nullopt;
+}
+
+std::vector<HomeCandidate>
+ForwardingRunner::Candidates(const PendingRequest& aPending) const
+{
+  const auto& plan = mHomes.PlanOf(*mGroup);
+  const auto& self = mHomes.Self();
   std::vector<HomeCandidate> candidates;
   for (size_t n = 0; n < plan.mRanked.size(); ++n) {
     const auto& it = plan.mRanked[n];
@@ -131,21 +236,21 @@
         : !aPending.mTriedPeers.contains(it.mName) && mPeers.IsUsable(it.mName);
     candidates.push_back(candidate);
   }
-  const auto choice =
-    ChooseHome({ mGroup->Name(),
-                 self.mName,
-                 self.mFailureDomain,
-                 HomeDirectory::PrimaryDomain(*mGroup),
-                 aPending.mRequest.Kind() == QueueKind::AtPrimary,
-                 aPending.mRequest.mAuthority.mAccount,
-                 HomeDirectory::HasReplicaBesidePrimary(*mGroup),
-                 mHomes.GetTopology() },
-               candidates);
-  if (!choice) {
-    return std::optional<std::string>();
-  }
-  const auto home = PL_TRY(ChooseForWait(aPending, candidates, *choice));
-  return std::optional(candidates[home].mName);
+  return candidates;
+}
+
+HomeRequirements
+ForwardingRunner::RequirementsOf(const PendingRequest& aPending) const
+{
+  const auto& self = mHomes.Self();
+  return { mGroup->Name(),
+           self.mName,
+           self.mFailureDomain,
+           HomeDirectory::PrimaryDomain(*mGroup),
+           aPending.mRequest.Kind() == QueueKind::AtPrimary,
+           aPending.mRequest.mAuthority.mAccount,
+           HomeDirectory::HasReplicaBesidePrimary(*mGroup),
+           &mHomes.GetTopology() };
 }
 
 Result<size_t>
@@ -154,13 +259,6 @@
                                 size_t aPreferred)
 {
   const auto& request = aPending.mRequest;
-  const bool isFirstChoice =
-    aPending.mTriedPeers.empty() && !aPending.mWasRefusedLocally;
-  if (!isFirstChoice) {
-    // An earlier attempt of a read may have run, so it isn't refused as not
-    // run.
-    return aPreferred;
-  }
   std::vector<size_t> homes;
   std::vector<HomeWait> waits;
   for (size_t n = 0; n < aCandidates.size(); ++n) {
@@ -219,14 +317,14 @@
 ForwardingRunner::RunLocally(const PendingRequestPointer& aPending)
 {
   mGroup->Submit(aPending->mRequest, [=, this](const RelayOutcome& aOutcome) {
+    EndExchange(*aPending, HomeExchange::EndingOf(aOutcome.mAnswer));
     const auto& error = aOutcome.mAnswer.mError;
     if (error && !aPending->mWasRefusedLocally &&
         MayReroute(*aPending, *error)) {
       aPending->mWasRefusedLocally = true;
-      const auto peer = ChooseInstance(*aPending);
-      if (!peer.IsError() && peer.Value()) {
+      if (const auto peer = ChooseInstance(*aPending)) {
         ++mCounts.mDetours;
-        Forward(aPending, *peer.Value(), 0);
+        Forward(aPending, *peer, 0);
         return;
       }
     }
@@ -254,6 +352,8 @@
 {
   ++(aPending->mTriedPeers.empty() ? mCounts.mForwarded : mCounts.mRerouted);
   aPending->mTriedPeers.insert(aPeer);
+  const auto distance = static_cast<size_t>(mHomes.DistanceTo(*mGroup, aPeer));
+  ++mCounts.mByDistance[distance];
   auto statement = MakeForwardStatement(aPending->mRequest, mClock());
   statement.mTransaction = aTransaction;
   mPendingRequests.push_back(aPending);
@@ -261,6 +361,12 @@
     aPeer, std::move(statement), [=, this](const ForwardOutcome& aOutcome) {
       aPending->mCallId = 0;
       std::erase(mPendingRequests, aPending);
+      const bool isAnswered = aOutcome.mKind == ForwardOutcome::Kind::Answered;
+      mCounts.mBytesByDistance[distance] +=
+        isAnswered ? SizeOf(aPending->mRequest, aOutcome.mAnswer) : 0;
+      EndExchange(*aPending,
+                  isAnswered ? HomeExchange::EndingOf(aOutcome.mAnswer)
+                             : HomeExchange::Ending::Overloaded);
       OnOutcome(aPending, aPeer, aOutcome);
     });
 }
@@ -278,7 +384,7 @@
       const auto& error = aOutcome.mAnswer.mError;
       if (error && !aPending->mIsInOpenTransaction &&
           MayReroute(*aPending, *error)) {
-        Route(aPending);
+        Send(aPending, ChooseInstance(*aPending));
         return;
       }
       RelayOutcome outcome{ aOutcome.mAnswer, {} };
@@ -396,6 +502,7 @@
     const bool isCancelled = it->mRequest.mSession.get() == &aSession;
     if (isCancelled) {
       isUnsent |= mPeers.Cancel(it->mCallId);
+      EndExchange(*it, HomeExchange::Ending::Other);
     }
     return isCancelled;
   });
--- a/Libraries/LibPeer/ForwardingRunner.h
+++ b/Libraries/LibPeer/ForwardingRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibPeer/HomeDirectory.h"
+#include "LibPeer/HomeExchange.h"
 #include "LibPeer/PeerPool.h"
 
 #include <list>
@@ -19,6 +20,14 @@
   uint64_t mMovedForWait = 0;
   /// Refused here, since no home would have served them in time.
   uint64_t mRefusedForWait = 0;
+  /// Sent to another home than the nearest one, because leaving pays.
+  uint64_t mLeft = 0;
+  /// Statements forwarded, and the size of the texts and rows of those
+  /// answered, in bytes, by Distance.
+  std::array<uint64_t, 3> mByDistance{};
+  std::array<uint64_t, 3> mBytesByDistance{};
+  /// The share that leaves the nearest home, by group; only those above 0.
+  std::map<std::string, double> mLeavingShares;
 };
 
 /// Runs the statements of this instance's callers on one group: locally when
@@ -60,13 +69,26 @@
     bool mWasRefusedLocally = false;
     /// The statement belongs to a transaction that is open at another instance.
     bool mIsInOpenTransaction = false;
+    /// The home that HomeExchange chose, until the statement ends there.
+    std::optional<HomeExchange::Choice> mExchanged;
+    Instant mSentAt;
   };
   using PendingRequestPointer = std::shared_ptr<PendingRequest>;
 
-  void Route(const PendingRequestPointer& aPending);
   void Reroute(const PendingRequestPointer& aPending, const std::string& aPeer);
-  Result<std::optional<std::string>> ChooseInstance(
-    const PendingRequest& aPending);
+  std::optional<std::string> ChooseInstance(
+    const PendingRequest& aPending) const;
+  std::vector<HomeCandidate> Candidates(const PendingRequest& aPending) const;
+  HomeRequirements RequirementsOf(const PendingRequest& aPending) const;
+  /// Chooses the instance for a statement that none was tried for; empty when
+  /// it runs here. Errors: QueueFull when no home can serve it in time.
+  Result<std::optional<std::string>> ChooseFirst(
+    const PendingRequestPointer& aPending);
+  /// Lets a share of the statements go to a home in another failure domain than
+  /// the nearest one's while that pays. Returns the index of a candidate.
+  size_t ChooseDomain(const PendingRequestPointer& aPending,
+                      std::span<const HomeCandidate> aCandidates,
+                      size_t aNearest);
   /// Changes the choice of a home by the expected waits. Errors: QueueFull when
   /// no home can serve the statement in time.
   Result<size_t> ChooseForWait(const PendingRequest& aPending,
@@ -76,6 +98,9 @@
                                  const RelayRequest& aRequest) const;
   void RefuseForWait(const PendingRequestPointer& aPending,
                      const Error& aError);
+  void Send(const PendingRequestPointer& aPending,
+            const std::optional<std::string>& aInstance);
+  void EndExchange(PendingRequest& aPending, HomeExchange::Ending aEnding);
   void RunLocally(const PendingRequestPointer& aPending);
   void Forward(const PendingRequestPointer& aPending,
                const std::string& aPeer,
@@ -100,6 +125,7 @@
   PeerPool::Clock mClock;
   PeerPool::LogSink mLog;
   ForwardCounts& mCounts;
+  HomeExchange mExchange;
   std::list<PendingRequestPointer> mPendingRequests;
   LoadNews mNews;
 };
--- a/Tests/LibDecision/TestHomePlan.cpp
+++ b/Tests/LibDecision/TestHomePlan.cpp
@@ -113,7 +113,9 @@
                                        aDomain,
                                        aPrimaryDomain,
                                        aNeedsPrimary,
-                                       aTopology },
+                                       {},
+                                       false,
+                                       &aTopology },
                                      aCandidates);
       domains.insert(aCandidates[*choice].mFailureDomain);
     }
--- a/Tests/LibPeer/SimulatedFleet.h
+++ b/Tests/LibPeer/SimulatedFleet.h
@@ -110,6 +110,10 @@
     bool mIsPartitioned = false;
     /// The load that its answers report, in place of its own.
     std::optional<GroupLoad> mToldLoad;
+    /// The time that a message takes at the instance, one after the other: what
+    /// its processor share or its link bears.
+    Duration mMessageTime{};
+    Instant mBusyUntil;
     /// Databases that the instance can't connect to.
     std::set<std::string> mUnreachableDatabases;
   };
@@ -117,7 +121,8 @@
   /// Creates aCount instances, assigned to aDomains in turn.
   SimulatedFleet(size_t aCount,
                  std::vector<std::string> aDomains,
-                 std::optional<Duration> aAuthorityTimeout = std::nullopt);
+                 std::optional<Duration> aAuthorityTimeout = std::nullopt,
+                 Topology aTopology = {});
   ~SimulatedFleet();
 
   FakeUpstreams& Databases() { return *mDatabases; }
@@ -141,6 +146,11 @@
   /// Sets the time between two ticks of all instances, which is longer when
   /// they are short of processor time.
   void SetTickInterval(Milliseconds aInterval) { mTickInterval = aInterval; }
+  /// The time that a message takes on the link between two regions, one after
+  /// the other.
+  Duration mRegionMessageTime{};
+  /// Domains whose messages to and from others are lost.
+  std::set<std::string> mCutDomains;
   /// Runs a function at an instance after a delay.
   void RunAfter(const std::string& aInstance,
                 Duration aDelay,
@@ -176,11 +186,17 @@
   void Add(size_t aIndex, const std::string& aDomain);
   void Step();
   void Schedule(const std::string& aTo, std::function<void()> aRun);
+  void ScheduleMessage(const std::string& aFrom,
+                       const std::string& aTo,
+                       std::function<void()> aRun);
+  bool IsReachable(const std::string& aFrom, const std::string& aTo);
   bool IsRunning(const Instance& aInstance) const;
   void RecordFrame(const QByteArray& aBytes) const;
   void CloseLink(const std::shared_ptr<Link>& aLink);
 
   std::optional<Duration> mAuthorityTimeout;
+  Topology mTopology;
+  Instant mRegionLinkBusyUntil;
   std::unique_ptr<FakeUpstreams> mDatabases;
   // Declared before the instances, whose channels use them on destruction.
   std::deque<Event> mEvents;
