LibRelay: Require a session's write of the primary too

Cause: ChooseUpstream asked replicas for the position of the session's last write and took the primary to hold it. The position may come from an instance that knows a later term than this one. Its believed primary has stepped down, lags, and answers a plain read as before; evidence within the allowed age does not show it.

Change: a position of a later term raises the term of the group, which drops the primary on every path (first attempts, transactions, hedges, waiting attempts, writes) and asks all members for their status at once. Reads and the begin of a transaction carry the required position to the primary of the same term, so that a database that started again without its log refuses them. Positions are kept by group, since a route may move to a group with lower terms.

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -52,10 +52,7 @@
     return;
   }
   known.mStatus = aStatus;
-  if (aStatus.mTerm > mHighestTerm) {
-    mHighestTerm = aStatus.mTerm;
-    ForgetPrimary();
-  }
+  ObserveTerm(aStatus.mTerm);
   if (aStatus.mRole == Role::Primary && aStatus.mTerm == mHighestTerm) {
     if (mPrimary != aStatus.mUpstream) {
       ForgetPrimary();
@@ -106,6 +103,15 @@
   }
 }
 
+void
+GroupView::ObserveTerm(uint64_t aTerm)
+{
+  if (aTerm > mHighestTerm) {
+    mHighestTerm = aTerm;
+    ForgetPrimary();
+  }
+}
+
 void
 GroupView::ObserveFailure(const std::string& aName)
 {
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -96,6 +96,9 @@
   /// Handles the success of a statement that a database runs only while it is
   /// the primary: a write, or a statement of a transaction that may write.
   void ObserveLeading(const std::string& aName, Instant aRequestedAt);
+  /// Handles the proof that a primary has led a term: a write that was
+  /// acknowledged in it.
+  void ObserveTerm(uint64_t aTerm);
   /// Handles a failed connection or a request that got no answer.
   void ObserveFailure(const std::string& aName);
 
--- a/Libraries/LibDecision/RelayRouting.cpp
+++ b/Libraries/LibDecision/RelayRouting.cpp
@@ -57,6 +57,16 @@
          aView.AppliedOf(aName) >= aNeeded;
 }
 
+/// The position that the primary has to confirm that it holds. It holds every
+/// write of an earlier term that survived, and waiting for one that did not
+/// would never end.
+std::optional<LogPosition>
+PositionAtPrimary(std::optional<LogPosition> aNeeded,
+                  const GroupPrimary& aPrimary)
+{
+  return aNeeded && aNeeded->mTerm >= aPrimary.mTerm ? aNeeded : std::nullopt;
+}
+
 }
 
 Instant
@@ -103,15 +113,17 @@
   const bool isPrimaryOnly =
     aRequirements.mNeedsPrimary || !aRequirements.mMaxAge;
   const auto needed = isPrimaryOnly
-                        ? std::nullopt
+                        ? aRequirements.mLastWritePosition
                         : PositionForRead(aRequirements, aView, aSettings);
+  const bool isReplaced = primary && needed && needed->mTerm > primary->mTerm;
   BestCandidate best;
   BestCandidate bestBusy;
   for (size_t it = 0; it < aCandidates.size(); ++it) {
     const auto& candidate = aCandidates[it];
     const bool isPrimary = primary && primary->mName == candidate.mName;
-    const bool fits =
-      isPrimary || (needed && HasApplied(aView, candidate.mName, *needed));
+    const bool fits = isPrimary ? !isReplaced
+                                : !isPrimaryOnly && needed &&
+                                    HasApplied(aView, candidate.mName, *needed);
     if (!fits || candidate.mIsExcluded) {
       continue;
     }
@@ -145,6 +157,7 @@
   }
   if (primary && aCandidates[choice.mIndex].mName == primary->mName) {
     choice.mPrimary = primary;
+    choice.mMinPosition = PositionAtPrimary(needed, *primary);
   } else {
     choice.mMinPosition = needed;
   }
--- a/Libraries/LibDecision/RelayRouting.h
+++ b/Libraries/LibDecision/RelayRouting.h
@@ -13,7 +13,8 @@
   /// The allowed staleness of a read; none means that the read must include
   /// every acknowledged write.
   std::optional<Duration> mMaxAge;
-  /// The position of the last acknowledged write of the session.
+  /// The position of the session's last acknowledged write, which a read must
+  /// include whichever instance acknowledged it.
   std::optional<LogPosition> mLastWritePosition;
   /// When the statement or the first statement of its transaction arrived.
   Instant mStartedAt;
@@ -53,7 +54,7 @@
   /// The index of the chosen candidate; with WaitForConnection the one that
   /// would be chosen if it had a connection.
   size_t mIndex = 0;
-  /// The position that the replica must have applied.
+  /// The position that the database must have applied.
   std::optional<LogPosition> mMinPosition;
   /// Set when the primary was chosen, also with WaitForConnection. Its result
   /// must be confirmed before it is returned.
@@ -78,8 +79,8 @@
 };
 
 /// The instant up to which a read must include all acknowledged writes; older
-/// evidence does not suffice for it. The session's own writes need no evidence,
-/// because this instance acknowledged them and knows their term.
+/// evidence does not suffice for it. The session's own writes need no evidence:
+/// ChooseUpstream requires their position of the database.
 /// Pure; any thread.
 Instant
 EvidenceSince(const RelayRequirements& aRequirements,
@@ -94,7 +95,8 @@
                 const RelayRoutingSettings& aSettings = {});
 
 /// Chooses the database for a statement by the shortest expected time among the
-/// suitable ones. Pure; any thread.
+/// suitable ones. A primary is suitable unless a required position is of a
+/// later term, which shows that it was replaced. Pure; any thread.
 RelayChoice
 ChooseUpstream(const RelayRequirements& aRequirements,
                std::span<const RelayCandidate> aCandidates,
--- a/Libraries/LibPeer/ForwardingRunner.cpp
+++ b/Libraries/LibPeer/ForwardingRunner.cpp
@@ -55,7 +55,8 @@
   statement.mReceivedAgo =
     std::chrono::floor<Milliseconds>(aNow - aRequest.mReceivedAt);
   statement.mValues = aRequest.mSession->mValues;
-  statement.mLastWritePosition = aRequest.mSession->mLastWritePosition;
+  statement.mLastWritePosition =
+    aRequest.mSession->LastWriteIn(aRequest.mRoute.mGroup);
   statement.mPreparedQuery = aRequest.mPreparedQuery;
   statement.mAccount = aRequest.mAuthority.mAccount;
   statement.mAccountRank = aRequest.mAuthority.mAccountRank;
--- a/Libraries/LibPeer/PeerMessages.h
+++ b/Libraries/LibPeer/PeerMessages.h
@@ -50,6 +50,7 @@
   /// Time since this statement arrived.
   Milliseconds mReceivedAgo{ 0 };
   std::map<std::string, std::string> mValues;
+  /// The position of the session's last write in the group of the route.
   std::optional<LogPosition> mLastWritePosition;
   std::optional<PreparedQuery> mPreparedQuery;
   /// The client account; empty for none, and from an instance that sends none.
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -100,7 +100,10 @@
   RelayRequest request;
   auto state = std::make_shared<SessionState>();
   state->mValues = aStatement.mValues;
-  state->mLastWritePosition = aStatement.mLastWritePosition;
+  if (aStatement.mLastWritePosition) {
+    state->RecordWrite(aStatement.mRoute.mGroup,
+                       *aStatement.mLastWritePosition);
+  }
   request.mStatement = aStatement.mStatement;
   request.mSession = state;
   request.mPreparedQuery = aStatement.mPreparedQuery;
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -117,6 +117,7 @@
   }
   const auto& request = pending->mRequest;
   mActiveUntil = request.mReceivedAt + mSettings.mStandbyDelay;
+  ObserveTermOf(request);
   if (request.mRoute.mFreshness != Freshness::Latest) {
     mFrontierNeededUntil = request.mReceivedAt + std::chrono::seconds(3);
   }
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -346,6 +346,9 @@
   void RemoveAttempt(const AttemptPointer& aAttempt);
 
   // Evidence.
+  /// Learns from the position of the session's last write that the primary was
+  /// replaced, and requests the statuses that tell the next one.
+  void ObserveTermOf(const RelayRequest& aRequest);
   void AwaitConfirmation(const PendingRequestPointer& aPending,
                          const StatementAnswer& aAnswer,
                          const GroupPrimary& aPrimary);
--- a/Libraries/LibRelay/RelayGroupDispatch.cpp
+++ b/Libraries/LibRelay/RelayGroupDispatch.cpp
@@ -30,7 +30,8 @@
     requirements.mMaxAge = aRequest.mRoute.mMaxAge;
   }
   if (aRequest.mRoute.mFreshness == Freshness::ReadYourWrites) {
-    requirements.mLastWritePosition = aRequest.mSession->mLastWritePosition;
+    requirements.mLastWritePosition =
+      aRequest.mSession->LastWriteIn(mConfiguration.mName);
   }
   return requirements;
 }
@@ -313,7 +314,7 @@
       aAttempt->mLink->Session().StatementNameOf(*request.mPreparedQuery);
     command.mValue = request.mStatement.mValue;
   }
-  if (!aAttempt->mTransaction) {
+  if (!aAttempt->mTransaction && request.mAccess == Access::Read) {
     command.mMinPosition = aAttempt->mMinPosition;
   }
   if (!MayStillRun(aAttempt)) {
@@ -468,7 +469,11 @@
 {
   const auto& name = aAttempt->mLink->Upstream();
   const auto now = mEnvironment.mNow();
-  if (aError.mKind == ErrorKind::NotPrimary) {
+  // A primary has every acknowledged write of its term.
+  const bool isNotPrimary =
+    aError.mKind == ErrorKind::NotPrimary ||
+    (aError.mKind == ErrorKind::TooStale && aAttempt->mPrimary);
+  if (isNotPrimary) {
     Log("primary.denied", { { "upstream", name } });
     mView.ObserveNotPrimary(name);
     RequestStatus(name, mCounts.mProbes);
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -5,6 +5,26 @@
 
 namespace papayaline {
 
+void
+RelayGroup::ObserveTermOf(const RelayRequest& aRequest)
+{
+  const auto written = aRequest.mSession->LastWriteIn(mConfiguration.mName);
+  const auto before = mView.Primary();
+  if (!written || written->mTerm <= mView.HighestTerm()) {
+    return;
+  }
+  mView.ObserveTerm(written->mTerm);
+  if (before) {
+    Log("primary.changed",
+        { { "upstream", "unknown" },
+          { "term", std::to_string(written->mTerm) },
+          { "source", "request " + aRequest.mStatement.mId } });
+  }
+  for (const auto& it : mView.Members()) {
+    RequestStatus(it.mName, mCounts.mProbes);
+  }
+}
+
 bool
 RelayGroup::IsReplaced(const GroupPrimary& aPrimary) const
 {
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -307,8 +307,7 @@
   }
   mHasWritten |= isWrite;
   if ((isCommit || mPhase == Phase::None) && mHasWritten && answer.mPosition) {
-    mState->mLastWritePosition =
-      std::max(mState->mLastWritePosition, answer.mPosition);
+    mState->RecordWrite(mRoute.mGroup, *answer.mPosition);
   }
   mTransaction = aOutcome.mTransaction;
   if (isCommit) {
--- a/Libraries/LibRelay/SessionState.cpp
+++ b/Libraries/LibRelay/SessionState.cpp
@@ -29,6 +29,20 @@
 
 }
 
+std::optional<LogPosition>
+SessionState::LastWriteIn(const std::string& aGroup) const
+{
+  const auto it = mLastWrites.find(aGroup);
+  return it != mLastWrites.end() ? std::optional(it->second) : std::nullopt;
+}
+
+void
+SessionState::RecordWrite(const std::string& aGroup, LogPosition aPosition)
+{
+  auto& last = mLastWrites[aGroup];
+  last = std::max(last, aPosition);
+}
+
 /// A single session variable can't be unset, so a variable of another session
 /// requires a reset of the connection.
 bool
--- a/Libraries/LibRelay/SessionState.h
+++ b/Libraries/LibRelay/SessionState.h
@@ -17,7 +17,7 @@
 };
 
 /// The state of a session as its caller sees it: session variables, prepared
-/// statements, and the log position that its reads must include.
+/// statements, and the log positions that its reads must include.
 /// Thread safety: one thread.
 struct SessionState
 {
@@ -26,7 +26,15 @@
 
   std::map<std::string, std::string> mValues;
   std::map<std::string, PreparedQuery> mPrepared;
-  std::optional<LogPosition> mLastWritePosition;
+  /// The positions of the last acknowledged writes by group; those of different
+  /// groups can't be compared.
+  std::map<std::string, LogPosition> mLastWrites;
+
+  /// The position that reads in a group must include; unset before the first
+  /// write in it.
+  std::optional<LogPosition> LastWriteIn(const std::string& aGroup) const;
+  /// Records the position of a write that was acknowledged in a group.
+  void RecordWrite(const std::string& aGroup, LogPosition aPosition);
 
   bool operator==(const SessionState&) const = default;
 };
--- a/Tests/LibDecision/TestGroupView.cpp
+++ b/Tests/LibDecision/TestGroupView.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(BothReplicasConfirmPrimaryThatWasNotAsked);
   CPPUNIT_TEST(FourMembersNeedThreeReportsToConfirmPrimary);
   CPPUNIT_TEST(PrimaryRefusedAWriteItsEarlierEvidenceIsVoid);
+  CPPUNIT_TEST(WriteOfALaterTermShowsThatThePrimaryWasReplaced);
   CPPUNIT_TEST(DatabaseRestartedStatusIsDiscarded);
   CPPUNIT_TEST(AnswerOfAnyKindClearsOutstandingRequests);
   CPPUNIT_TEST_SUITE_END();
@@ -214,6 +215,19 @@
     CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
   }
 
+  void WriteOfALaterTermShowsThatThePrimaryWasReplaced()
+  {
+    mView.ObserveTerm(1);
+    CPPUNIT_ASSERT(mView.Primary() == mPrimary);
+    mView.ObserveTerm(2);
+    CPPUNIT_ASSERT(!mView.Primary());
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart));
+    See("a", Role::Primary, 1, { 1, 12 }, 5ms);
+    CPPUNIT_ASSERT(!mView.Primary());
+    See("b", Role::Primary, 2, { 2, 11 }, 6ms);
+    CPPUNIT_ASSERT(mView.Primary() == GroupPrimary({ "b", 2 }));
+  }
+
   void DatabaseRestartedStatusIsDiscarded()
   {
     auto members = Members("abc");
--- a/Tests/LibDecision/TestRelayRouting.cpp
+++ b/Tests/LibDecision/TestRelayRouting.cpp
@@ -13,6 +13,9 @@
   CPPUNIT_TEST(QueueLongerThanThePenaltyLeavesTheDomain);
   CPPUNIT_TEST(PrimaryInTheRegionIsPreferredToAReplicaInAnother);
   CPPUNIT_TEST(QueueAtThePrimaryLongerThanThePenaltyLeavesTheRegion);
+  CPPUNIT_TEST(PrimaryOfAnEarlierTermThanTheOwnWriteIsNotChosen);
+  CPPUNIT_TEST(ReadAtPrimaryRequiresThePositionOfItsTerm);
+  CPPUNIT_TEST(PositionOfAnEarlierTermIsNotRequiredOfThePrimary);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Instant kNow = Instant(1h);
@@ -96,6 +99,52 @@
                          Choose({ Candidate("p", Distance::SameDomain, 4),
                                   Candidate("s", Distance::OtherRegion) }));
   }
+
+  RelayChoice ChooseAtPrimary(std::optional<LogPosition> aLastWrite,
+                              bool aMayWrite) const
+  {
+    RelayRequirements requirements;
+    requirements.mNeedsPrimary = aMayWrite;
+    requirements.mMaxAge = 1500ms;
+    requirements.mLastWritePosition = aLastWrite;
+    requirements.mStartedAt = kNow;
+    const std::array candidates{ Candidate("p", Distance::SameDomain) };
+    return ChooseUpstream(requirements, candidates, mView);
+  }
+
+  /// Guards against a read at a replaced primary that lacks the session's
+  /// write, and against a write that can't be acknowledged.
+  void PrimaryOfAnEarlierTermThanTheOwnWriteIsNotChosen()
+  {
+    for (const bool mayWrite : { false, true }) {
+      const auto choice = ChooseAtPrimary(LogPosition{ 2, 1 }, mayWrite);
+      CPPUNIT_ASSERT(choice.mVerdict == RelayVerdict::WaitForPrimary);
+    }
+  }
+
+  /// The database itself refuses the read if it started again without its log.
+  void ReadAtPrimaryRequiresThePositionOfItsTerm()
+  {
+    const LogPosition written{ 1, 12 };
+    for (const bool mayWrite : { false, true }) {
+      const auto choice = ChooseAtPrimary(written, mayWrite);
+      CPPUNIT_ASSERT(choice.mVerdict == RelayVerdict::Run);
+      CPPUNIT_ASSERT(choice.mPrimary);
+      CPPUNIT_ASSERT(choice.mMinPosition == written);
+    }
+    CPPUNIT_ASSERT(ChooseAtPrimary({}, false).mMinPosition ==
+                   LogPosition(1, 10));
+  }
+
+  /// It survived the promotion, so the primary has it, or no database has it.
+  void PositionOfAnEarlierTermIsNotRequiredOfThePrimary()
+  {
+    for (const bool mayWrite : { false, true }) {
+      const auto choice = ChooseAtPrimary(LogPosition{ 0, 99 }, mayWrite);
+      CPPUNIT_ASSERT(choice.mVerdict == RelayVerdict::Run);
+      CPPUNIT_ASSERT(choice.mMinPosition != LogPosition(0, 99));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestRelayRouting);
--- a/Tests/LibPeer/TestForwarding.cpp
+++ b/Tests/LibPeer/TestForwarding.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(WritesRunAtTheHomeInThePrimarysDomain);
   CPPUNIT_TEST(AgedReadsRunAtTheHomeOfTheirDomain);
   CPPUNIT_TEST(OwnReadAfterForwardedWriteIncludesIt);
+  CPPUNIT_TEST(OwnReadAtAHomeThatMissedTheReplacementIncludesTheWrite);
   CPPUNIT_TEST(ReadWhoseHomeIsKilledIsServedByAnother);
   CPPUNIT_TEST(ReadWhoseHomeIsFrozenIsServedByAnother);
   CPPUNIT_TEST(WriteWhoseHomeIsKilledEndsWithUnknownOutcomeAndIsNotRetried);
@@ -159,6 +160,44 @@
     CPPUNIT_ASSERT(caller->Last().mPosition >= written);
   }
 
+  /// Guards against reads at a replaced primary that lacks the session's write:
+  /// another home, which knows the next primary, acknowledged it.
+  void OwnReadAtAHomeThatMissedTheReplacementIncludesTheWrite()
+  {
+    for (const auto mode : { TransactionMode::None,
+                             TransactionMode::ReadOnly,
+                             TransactionMode::ReadWrite }) {
+      setUp();
+      auto& home = mFleet->At(mFleet->Plan().mRanked.front().mName);
+      Databases().Promote("b");
+      Databases().At("b").mReceived = { 2, 11 };
+      Databases().At("b").mApplied = { 2, 11 };
+      Databases().At("a").mIsApplying = false;
+      mFleet->Run(2ms);
+      std::vector<ForwardAnswer> answers;
+      const auto session = home.mServer->Accept([&](const PeerMessage& it) {
+        if (const auto* answer = std::get_if<ForwardAnswer>(&it)) {
+          answers.push_back(*answer);
+        }
+      });
+      ForwardStatement read;
+      read.mCall = 1;
+      read.mStatement.mText = "READ own";
+      read.mRoute.mGroup = "g";
+      read.mRoute.mFreshness = Freshness::ReadYourWrites;
+      read.mRoute.mMaxAge = 1500ms;
+      read.mMode = mode;
+      read.mLastWritePosition = LogPosition{ 2, 11 };
+      CPPUNIT_ASSERT(
+        !session->Handle(PeerHello{ PeerHello::kVersion, "entry" }).IsError());
+      CPPUNIT_ASSERT(!session->Handle(read).IsError());
+      mFleet->Run(100ms);
+      CPPUNIT_ASSERT_EQUAL(size_t(1), answers.size());
+      CPPUNIT_ASSERT(!answers.front().mAnswer.mError);
+      CPPUNIT_ASSERT(Databases().At("a").mRan.empty());
+    }
+  }
+
   void ReadWhoseHomeIsKilledIsServedByAnother()
   {
     auto& instance = mFleet->NonHome("d1");
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -361,14 +361,16 @@
       answer = RunStatement(aDatabase, aCommand, aState);
       break;
     case CommandType::Begin:
-      if (aDatabase.mRole != Role::Primary) {
+    case CommandType::BeginReadOnly:
+      if (aCommand.mType == CommandType::Begin &&
+          aDatabase.mRole != Role::Primary) {
         answer.mError = Error{ ErrorKind::NotPrimary, "" };
-        break;
+      } else if (aCommand.mMinPosition &&
+                 aDatabase.mApplied < *aCommand.mMinPosition) {
+        answer.mError = Error{ ErrorKind::TooStale, "" };
+      } else {
+        aState = TransactionState::Open;
       }
-      aState = TransactionState::Open;
-      break;
-    case CommandType::BeginReadOnly:
-      aState = TransactionState::Open;
       break;
     case CommandType::Rollback:
       aState = TransactionState::None;
--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -115,10 +115,88 @@
   std::shared_ptr<Shared> mShared;
 };
 
+/// Runs each statement at an instance that is drawn, and the statements of a
+/// transaction at the same one. A suspended instance runs them when it resumes.
+class RelayWorld::SpreadingRunner : public StatementRunner
+{
+public:
+  explicit SpreadingRunner(RelayWorld& aWorld)
+    : mWorld(aWorld)
+  {
+  }
+
+  void Submit(RelayRequest aRequest, OutcomeHandler aHandler) override
+  {
+    const auto n = std::uniform_int_distribution<size_t>(0, kInstances - 1)(
+      mWorld.mSpreadRandom);
+    RunAt(n, [=, this] {
+      GroupAt(n).Submit(aRequest, [=, this](const RelayOutcome& aOutcome) {
+        Record(n, aOutcome);
+        aHandler(aOutcome);
+      });
+    });
+  }
+
+  void Continue(const std::shared_ptr<OpenTransaction>& aTransaction,
+                RelayRequest aRequest,
+                OutcomeHandler aHandler) override
+  {
+    const auto n = mInstances.at(aTransaction);
+    mInstances.erase(aTransaction);
+    RunAt(n, [=, this] {
+      GroupAt(n).Continue(
+        aTransaction, aRequest, [=, this](const RelayOutcome& aOutcome) {
+          Record(n, aOutcome);
+          aHandler(aOutcome);
+        });
+    });
+  }
+
+  bool Cancel(const SessionState& aSession) override
+  {
+    bool isUnsent = false;
+    for (size_t n = 0; n < kInstances; ++n) {
+      isUnsent |= GroupAt(n).Cancel(aSession);
+    }
+    return isUnsent;
+  }
+
+  void RollBack(const std::shared_ptr<OpenTransaction>& aTransaction) override
+  {
+    const auto n = mInstances.at(aTransaction);
+    mInstances.erase(aTransaction);
+    GroupAt(n).RollBack(aTransaction);
+  }
+
+private:
+  RelayGroup& GroupAt(size_t aInstance)
+  {
+    return *mWorld.mInstances[aInstance].mRouter->FindGroup("g");
+  }
+
+  void RunAt(size_t aInstance, std::function<void()> aRun)
+  {
+    mWorld.Schedule(std::max(mWorld.mNow + kOneWayDelay,
+                             mWorld.mInstances[aInstance].mSuspendedUntil),
+                    std::move(aRun));
+  }
+
+  void Record(size_t aInstance, const RelayOutcome& aOutcome)
+  {
+    if (aOutcome.mTransaction) {
+      mInstances[aOutcome.mTransaction] = aInstance;
+    }
+  }
+
+  RelayWorld& mWorld;
+  std::map<std::shared_ptr<OpenTransaction>, size_t> mInstances;
+};
+
 RelayWorld::RelayWorld(unsigned aSeed,
                        Freshness aFreshness,
                        Acknowledgement aAcknowledgement,
-                       Disruption aDisruption)
+                       Disruption aDisruption,
+                       Spread aSpread)
   : mRandom(aSeed)
   , mFreshness(aFreshness)
   , mAcknowledgement(aAcknowledgement)
@@ -126,6 +204,7 @@
   , mLeaseObject(StoredLease{ { "", "", 0, true, 1 }, { 1, 1 } })
   , mStoreRandom(aSeed)
   , mKeyRandom(aSeed)
+  , mSpreadRandom(aSeed)
 {
   for (const auto* it : { "a", "b", "c" }) {
     Database database;
@@ -150,6 +229,11 @@
       std::make_unique<PromotionLease>("i" + std::to_string(it), "1");
     ObserveEra(it);
     mInstances[it].mRouter = std::make_unique<RelayRouter>(MakeEnvironment(it));
+    if (aSpread == Spread::AnyInstance) {
+      mInstances[it].mRouter->SetRunnerFactory([this](const auto&) {
+        return std::make_shared<SpreadingRunner>(*this);
+      });
+    }
     mInstances[it].mRouter->ApplyConfigurationIfNewer(mConfiguration);
   }
   PublishDirectory({});
@@ -184,6 +268,8 @@
 
 RelayWorld::~RelayWorld()
 {
+  // Statements that wait for an instance refer to both.
+  mEvents.clear();
   mCallers.clear();
   mInstances.clear();
 }
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -30,10 +30,20 @@
     KeysTakenAway,
   };
 
+  /// Where the statements of a session run.
+  enum class Spread
+  {
+    OwnInstance,
+    /// Each single statement and each transaction runs at an instance that is
+    /// drawn, as if it were forwarded there.
+    AnyInstance,
+  };
+
   RelayWorld(unsigned aSeed,
              Freshness aFreshness,
              Acknowledgement aAcknowledgement,
-             Disruption aDisruption = Disruption::None);
+             Disruption aDisruption = Disruption::None,
+             Spread aSpread = Spread::OwnInstance);
   ~RelayWorld();
 
   void Run(Milliseconds aTime);
@@ -109,6 +119,7 @@
     int64_t mNumber = 0;
   };
   class Channel;
+  class SpreadingRunner;
   struct Event
   {
     Instant mAt;
@@ -180,6 +191,9 @@
   /// Draws the changes of keys, so that they don't change the other draws.
   std::mt19937 mKeyRandom;
   Instant mNextKeyChange;
+  /// Draws the instances of statements, so that they don't change the other
+  /// draws.
+  std::mt19937 mSpreadRandom;
   RelayConfiguration mConfiguration;
   size_t mUnauthorized = 0;
   size_t mRestores = 0;
--- a/Tests/LibRelay/TestExploration.cpp
+++ b/Tests/LibRelay/TestExploration.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(OwnReadsUnderFaultsKeepTheRules);
   CPPUNIT_TEST(WritesAcknowledgedByMajoritiesAreNotLost);
   CPPUNIT_TEST(PrimariesReplacedBesideDeafReplicasNoReadIsStale);
+  CPPUNIT_TEST(OwnReadsAtAnyInstanceIncludeTheSessionsWrites);
   CPPUNIT_TEST(KeysTakenAwayNothingRunsAfterTheTimeout);
   CPPUNIT_TEST_SUITE_END();
 
@@ -24,7 +25,8 @@
   static void Explore(
     Freshness aFreshness,
     Acknowledgement aAcknowledgement = Acknowledgement::Leader,
-    RelayWorld::Disruption aDisruption = RelayWorld::Disruption::None)
+    RelayWorld::Disruption aDisruption = RelayWorld::Disruption::None,
+    RelayWorld::Spread aSpread = RelayWorld::Spread::OwnInstance)
   {
     size_t acknowledged = 0;
     size_t reads = 0;
@@ -32,7 +34,8 @@
     size_t restores = 0;
     size_t unauthorized = 0;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-      RelayWorld world(seed, aFreshness, aAcknowledgement, aDisruption);
+      RelayWorld world(
+        seed, aFreshness, aAcknowledgement, aDisruption, aSpread);
       world.Run(15s);
       acknowledged += world.Acknowledged();
       reads += world.Reads();
@@ -69,6 +72,20 @@
   }
   void OwnReadsUnderFaultsKeepTheRules() { Explore(Freshness::ReadYourWrites); }
 
+  /// Guards against reads at a replaced primary that lacks the session's write,
+  /// which an instance that knows the next primary acknowledged.
+  void OwnReadsAtAnyInstanceIncludeTheSessionsWrites()
+  {
+    for (const auto it :
+         { RelayWorld::Disruption::None,
+           RelayWorld::Disruption::ReplacementsBesideDeafReplicas }) {
+      Explore(Freshness::ReadYourWrites,
+              Acknowledgement::Leader,
+              it,
+              RelayWorld::Spread::AnyInstance);
+    }
+  }
+
   void KeysTakenAwayNothingRunsAfterTheTimeout()
   {
     Explore(Freshness::ReadYourWrites,
