LibRelay: Ask replicas again for transactions that may write

What callers saw: a read in a transaction that may write waited up to 1.5 s for the next probe after a replacement, though the new primary was known and the replicas followed it.

Cause: such a transaction needs a replica in the primary's term. A replica's report of the term before, sent as it was about to join, confirmed the primary, so RequestEvidence asked it no more.

Change: without a recent follower, reports of replicas are requested anew, as for writes.

Evidence: ReadInATransactionIsServedOnceAReplicaFollows got no answer within 100 ms before; test-relay (123) and test-peer (98) pass.

--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -200,11 +200,16 @@
                            static_cast<size_t>(following) < followers;
   auto remaining = requestsAll ? size : needed;
   mNextEvidenceAt = aNow + std::max(mEvidenceInterval.Interval(), waited / 2);
-  // A write is confirmed by new reports of replicas only.
+  // A write is confirmed by new reports of replicas only, and a report of an
+  // earlier term does not show that a replica follows.
+  const bool isFollowed =
+    mView.IsPrimaryFollowed(*primary, aNow - mSettings.mMaxLeadershipAge);
   const bool needsNewReports =
     !mUnconfirmedWrites.empty() ||
-    std::ranges::any_of(requests, [](const auto& it) {
-      return it->mRequest.mAccess == Access::Write;
+    std::ranges::any_of(requests, [&](const auto& it) {
+      const auto& request = it->mRequest;
+      return request.mAccess == Access::Write ||
+             (request.MayWrite() && !isFollowed);
     });
   auto since = ReadEvidenceSince(requests);
   if (needsFrontier) {
--- a/Tests/LibRelay/TestOwnWrites.cpp
+++ b/Tests/LibRelay/TestOwnWrites.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(TestOwnWrites);
   CPPUNIT_TEST(ReadAfterAWriteOfALaterTermDoesNotRunAtTheReplacedPrimary);
   CPPUNIT_TEST(ReadAfterAWriteOfALaterTermIsServedAtOnce);
+  CPPUNIT_TEST(ReadInATransactionIsServedOnceAReplicaFollows);
   CPPUNIT_TEST(HedgedReadAfterAWriteOfALaterTermAvoidsTheReplacedPrimary);
   CPPUNIT_TEST(WriteAfterAWriteOfALaterTermIsNotSentToTheReplacedPrimary);
   CPPUNIT_TEST(ReadAtPrimaryThatLostItsLogIsRefusedThere);
@@ -109,6 +110,18 @@
     CPPUNIT_ASSERT(!mAnswers.front().mError);
   }
 
+  /// The replica reports the earlier term first. It joins the next one right
+  /// after, which a transaction that may write waits for.
+  void ReadInATransactionIsServedOnceAReplicaFollows()
+  {
+    mFake->Promote("b");
+    mFake->At("b").mReceived = mFake->At("b").mApplied = { 2, 11 };
+    Submit("READ 1", { 2, 11 }, TransactionMode::ReadWrite);
+    mFake->Run(100ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mAnswers.size());
+    CPPUNIT_ASSERT(!mAnswers.front().mError);
+  }
+
   void HedgedReadAfterAWriteOfALaterTermAvoidsTheReplacedPrimary()
   {
     Submit("READ 1", { 1, 10 });
