LibDecision: Promote only a log that holds what the fences show

Cause: the successor of a leaving primary was chosen by statuses of up to 1.5 s ago and not looked at again after the fences, whose answers show what was acknowledged. For a silent primary a replica that was leaving, out of reach for a moment or refused lost to a shorter log.

Change: the successor of a leaving primary is proposed, and promoted once a status of this attempt reaches the end of the fenced logs. One that is still behind after 200 ms is exchanged for another, whose fence is lifted; writes are acknowledged all the while. For a silent primary the longest fenced log is promoted or none. An order is repeated only while the fences hold. A refused successor of a leaving primary no longer makes the serving primary step down.

--- a/Libraries/LibDecision/TakeoverMachine.cpp
+++ b/Libraries/LibDecision/TakeoverMachine.cpp
@@ -205,12 +205,34 @@
     return;
   }
   mFenceTerm = aView.HighestFencedTerm() + 1;
-  mSuccessor =
-    *mCause == TakeoverCause::PrimaryLeaving ? ChooseSuccessor(aView) : "";
-  mRefusedMembers.clear();
+  mSuccessor.clear();
+  mExcludedMembers.clear();
   mState = State::Fencing;
+  mAttemptStartedAt = aNow;
+  mStepStartedAt = aNow;
+  if (!IsPlanned() || ReplaceSuccessor(aView, aNow)) {
+    SendFences(aView, aNow);
+  }
+}
+
+/// Proposes the next successor of a leaving primary. It receives from now on,
+/// while the others are fenced. Gives the attempt up if there is none.
+bool
+TakeoverMachine::ReplaceSuccessor(const GroupView& aView, Instant aNow)
+{
+  mSuccessor = ProposeSuccessor(aView);
+  if (mSuccessor.empty()) {
+    Finish(aView, aNow, "no successor");
+    mRetryAt = aNow + mSettings.mBackoff;
+    return false;
+  }
   mStepStartedAt = aNow;
-  SendFences(aView, aNow);
+  mCatchUpSince.reset();
+  if (IsFenced(aView, *aView.FindMember(mSuccessor))) {
+    mActions.push_back(
+      SendControlCommand{ mSuccessor, ControlCommand::Resume, mFenceTerm });
+  }
+  return true;
 }
 
 /// If the primary is only leaving, as many replicas stay unfenced as possible
@@ -219,12 +241,15 @@
 TakeoverMachine::NeedsFence(const GroupView& aView,
                             const GroupMember& aMember) const
 {
-  if (aMember.mName == mOldPrimary || aMember.mName == mSuccessor) {
+  if (aMember.mName == mOldPrimary) {
     return false;
   }
-  if (mSuccessor.empty()) {
+  if (!IsPlanned()) {
     return true;
   }
+  if (aMember.mName == mSuccessor) {
+    return false;
+  }
   const auto& members = aView.Members();
   auto spared = MajorityOf(members.size()) - 2;
   for (const auto& it : members) {
@@ -249,7 +274,10 @@
         SendControlCommand{ it.mName, ControlCommand::Fence, mFenceTerm });
     }
   }
-  if (*mCause != TakeoverCause::PrimaryLeaving && !mOldPrimary.empty()) {
+  if (IsPlanned()) {
+    mActions.push_back(
+      SendControlCommand{ mSuccessor, ControlCommand::RequestStatus, 0 });
+  } else if (!mOldPrimary.empty()) {
     mActions.push_back(
       SendControlCommand{ mOldPrimary, ControlCommand::StepDown, mFenceTerm });
   }
@@ -272,17 +300,30 @@
   const auto count = [&](auto aCondition) {
     return static_cast<size_t>(std::ranges::count_if(members, aCondition));
   };
+  if (IsPlanned()) {
+    return std::ranges::all_of(members, [&](const auto& it) {
+      return !NeedsFence(aView, it) || IsFenced(aView, it);
+    });
+  }
   const auto granted =
     count([&](const auto& it) { return IsFenced(aView, it); });
-  if (!mSuccessor.empty()) {
-    return granted >=
-           count([&](const auto& it) { return NeedsFence(aView, it); });
-  }
   const auto replicas =
     count([&](const auto& it) { return it.mName != mOldPrimary; });
   return replicas > 0 && granted >= MajorityOf(replicas);
 }
 
+bool
+TakeoverMachine::HasFencedEntries(const GroupView& aView,
+                                  const std::string& aName) const
+{
+  const auto* status = aView.StatusOf(aName);
+  return status && status->mRequestedAt >= mAttemptStartedAt &&
+         std::ranges::all_of(aView.Members(), [&](const auto& it) {
+           return !IsFenced(aView, it) ||
+                  aView.StatusOf(it.mName)->mReceived <= status->mReceived;
+         });
+}
+
 void
 TakeoverMachine::AwaitFences(const GroupView& aView, Instant aNow)
 {
@@ -290,19 +331,31 @@
     Finish(aView, aNow, "superseded");
     return;
   }
+  if (IsPlanned() && mSuccessor.empty()) {
+    if (ReplaceSuccessor(aView, aNow)) {
+      SendFences(aView, aNow);
+    }
+    return;
+  }
   if (HasEnoughFences(aView)) {
-    const auto successor =
-      mSuccessor.empty() ? ChooseSuccessor(aView) : mSuccessor;
-    if (!successor.empty()) {
+    const auto successor = IsPlanned() ? mSuccessor : ChooseSuccessor(aView);
+    if (!successor.empty() && HasFencedEntries(aView, successor)) {
       mSuccessor = successor;
       mState = State::Promoting;
       mStepStartedAt = aNow;
       SendPromotionOrder(aNow);
       return;
     }
+    if (IsPlanned()) {
+      AwaitCatchUp(aNow);
+      return;
+    }
   }
   if (aNow - mStepStartedAt >= mSettings.mFenceTimeout) {
-    Finish(aView, aNow, "not enough fences");
+    Finish(aView,
+           aNow,
+           HasEnoughFences(aView) ? "longest log unavailable"
+                                  : "not enough fences");
     mRetryAt = aNow + mSettings.mBackoff;
     return;
   }
@@ -311,24 +364,65 @@
   }
 }
 
+/// Requests the status of the successor until its log reaches the end of those
+/// of the fenced replicas.
+void
+TakeoverMachine::AwaitCatchUp(Instant aNow)
+{
+  if (!mCatchUpSince) {
+    mCatchUpSince = aNow;
+    mNextCatchUpAt = aNow;
+  }
+  if (aNow - *mCatchUpSince >= mSettings.mCatchUpTimeout) {
+    LogStep("behind");
+    mExcludedMembers.insert(std::exchange(mSuccessor, {}));
+    return;
+  }
+  if (aNow >= mNextCatchUpAt) {
+    mNextCatchUpAt = aNow + mSettings.mCatchUpInterval;
+    mActions.push_back(
+      SendControlCommand{ mSuccessor, ControlCommand::RequestStatus, 0 });
+  }
+}
+
+bool
+TakeoverMachine::MayBePromoted(const GroupView& aView,
+                               const GroupMember& aMember) const
+{
+  const auto* status = aView.StatusOf(aMember.mName);
+  return aMember.mName != mOldPrimary && status &&
+         status->mRole == Role::Replica && !aView.IsFailing(aMember.mName) &&
+         !mExcludedMembers.contains(aMember.mName);
+}
+
 std::string
-TakeoverMachine::ChooseSuccessor(const GroupView& aView) const
+TakeoverMachine::ProposeSuccessor(const GroupView& aView) const
 {
   const GroupMember* best = nullptr;
   const auto rank = [&](const GroupMember& aMember) {
-    const auto* status = aView.StatusOf(aMember.mName);
-    return std::tuple(!aMember.mIsLeaving, status->mReceived, !aMember.mIsCold);
+    return std::tuple(aView.StatusOf(aMember.mName)->mReceived,
+                      !aMember.mIsCold);
   };
   for (const auto& it : aView.Members()) {
-    const auto* status = aView.StatusOf(it.mName);
-    const bool isFenced = IsFenced(aView, it);
-    const bool isPlanned = *mCause == TakeoverCause::PrimaryLeaving;
-    if (it.mName == mOldPrimary || !status || status->mRole == Role::Primary ||
-        mRefusedMembers.contains(it.mName) || aView.IsFailing(it.mName) ||
-        (!isPlanned && !isFenced) || (isPlanned && it.mIsLeaving)) {
-      continue;
+    if (MayBePromoted(aView, it) && !it.mIsLeaving &&
+        (!best || rank(it) > rank(*best))) {
+      best = &it;
     }
-    if (!best || rank(it) > rank(*best)) {
+  }
+  return best ? best->mName : std::string();
+}
+
+std::string
+TakeoverMachine::ChooseSuccessor(const GroupView& aView) const
+{
+  const GroupMember* best = nullptr;
+  const auto rank = [](const GroupMember& aMember) {
+    return std::tuple(!aMember.mIsLeaving, !aMember.mIsCold);
+  };
+  for (const auto& it : aView.Members()) {
+    const bool fits = IsFenced(aView, it) && MayBePromoted(aView, it) &&
+                      HasFencedEntries(aView, it.mName);
+    if (fits && (!best || rank(it) > rank(*best))) {
       best = &it;
     }
   }
@@ -369,11 +463,14 @@
   if (aNow - mLastOrderAt < mSettings.mPromotionResendInterval) {
     return;
   }
-  if (aGrant) {
+  mLastOrderAt = aNow;
+  if (!aGrant) {
+    mActions.push_back(AcquireLease{});
+  } else if (HasEnoughFences(aView) && HasFencedEntries(aView, mSuccessor)) {
     SendPromotionOrder(aNow);
   } else {
-    mLastOrderAt = aNow;
-    mActions.push_back(AcquireLease{});
+    // Another holder of the lease may have lifted a fence.
+    SendFences(aView, aNow);
   }
 }
 
@@ -386,11 +483,10 @@
       aAnswer != PromotionAnswer::Refused) {
     return;
   }
-  mRefusedMembers.insert(aUpstream);
+  mExcludedMembers.insert(aUpstream);
   mSuccessor.clear();
   mState = State::Fencing;
   mStepStartedAt = aNow;
-  mCause = TakeoverCause::NoPrimary;
   LogStep("refused");
 }
 
--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -38,6 +38,11 @@
   Duration mMaxTickInterval = std::chrono::milliseconds(100);
   Duration mRequestInterval = std::chrono::milliseconds(100);
   Duration mFenceTimeout = std::chrono::milliseconds(500);
+  /// How long the successor of a leaving primary may take to receive what the
+  /// fenced replicas hold. A replica that receives at all is behind by the
+  /// delay of the network; one that takes longer is replaced as the successor.
+  Duration mCatchUpTimeout = std::chrono::milliseconds(200);
+  Duration mCatchUpInterval = std::chrono::milliseconds(40);
   Duration mPromotionResendInterval = std::chrono::milliseconds(800);
   /// Longer than the platform takes to complete a promotion that it accepted.
   Duration mPromotionTimeout = std::chrono::milliseconds(6000);
@@ -109,9 +114,18 @@
 /// The steps of a failover are: acquire the promotion lease; fence enough
 /// replicas to intersect every majority that acknowledged a write; choose the
 /// fenced replica with the longest log; order its promotion; remove the fences
-/// of the others. A primary that is leaving serves until the promotion takes
-/// effect. In this case, enough replicas are fenced that no majority is
-/// possible without the successor.
+/// of the others. A shorter log is not promoted, even if the longest one can't
+/// be promoted now.
+///
+/// A primary that is leaving serves until the promotion takes effect. In this
+/// case the successor is proposed first, and enough other replicas are fenced
+/// that no majority is possible without the successor. It is promoted once its
+/// log reaches the end of theirs. If it does not in time, another replica takes
+/// its place.
+///
+/// What members reported before the attempt proves nothing about their logs: a
+/// replica may have received more since, and one that started again may have
+/// less.
 ///
 /// Thread safety: one thread.
 class TakeoverMachine
@@ -150,21 +164,34 @@
   bool HasReplicaProgress(const GroupView& aView);
   /// The primary, or the member that the directory lists as the primary.
   std::string PresumedPrimary(const GroupView& aView) const;
+  /// Whether the old primary serves until the promotion takes effect.
+  bool IsPlanned() const { return mCause == TakeoverCause::PrimaryLeaving; }
   bool IsFenced(const GroupView& aView, const GroupMember& aMember) const;
   bool HasEnoughFences(const GroupView& aView) const;
+  /// Whether a member reported, since the attempt started, a log that reaches
+  /// the end of the logs of all fenced replicas.
+  bool HasFencedEntries(const GroupView& aView, const std::string& aName) const;
   bool NeedsFence(const GroupView& aView, const GroupMember& aMember) const;
   std::optional<TakeoverCause> FindCause(const GroupView& aView) const;
   bool HasAbandonedFence(const GroupView& aView, Instant aNow);
   void StartTakeover(const GroupView& aView, Instant aNow);
   void SendFences(const GroupView& aView, Instant aNow);
   void AwaitFences(const GroupView& aView, Instant aNow);
+  void AwaitCatchUp(Instant aNow);
+  bool ReplaceSuccessor(const GroupView& aView, Instant aNow);
   void AwaitPromotion(const GroupView& aView,
                       const std::optional<LeaseGrant>& aGrant,
                       Instant aNow);
   void SendPromotionOrder(Instant aNow);
   void Finish(const GroupView& aView, Instant aNow, const std::string& aStep);
   void ResumeFenced(const GroupView& aView);
+  /// The replica that is to be promoted when the primary leaves; empty if there
+  /// is none.
+  std::string ProposeSuccessor(const GroupView& aView) const;
+  /// The fenced replica to promote; empty while none with the longest log can
+  /// be promoted.
   std::string ChooseSuccessor(const GroupView& aView) const;
+  bool MayBePromoted(const GroupView& aView, const GroupMember& aMember) const;
   void RequestAllStatuses(const GroupView& aView, Instant aNow);
   void LogStep(const std::string& aStep, const std::string& aDetail = {});
 
@@ -186,14 +213,19 @@
   Instant mUnansweredSince;
   std::map<std::string, Instant> mFencedSince;
   Instant mNextRequestAt;
+  /// Since when the fences are granted and the successor lacks entries.
+  std::optional<Instant> mCatchUpSince;
+  Instant mNextCatchUpAt;
   Instant mRetryAt;
+  Instant mAttemptStartedAt;
   Instant mStepStartedAt;
   Instant mLastOrderAt;
   uint64_t mFenceTerm = 0;
   uint64_t mOldTerm = 0;
   std::string mOldPrimary;
   std::string mSuccessor;
-  std::set<std::string> mRefusedMembers;
+  /// Members that the platform refused to promote, or that did not catch up.
+  std::set<std::string> mExcludedMembers;
 };
 
 }
--- a/Tests/LibRelay/TestReplacements.cpp
+++ b/Tests/LibRelay/TestReplacements.cpp
@@ -13,7 +13,7 @@
   CPPUNIT_TEST(PrimariesReplacedBesideDeafReplicasNoAcknowledgedWriteIsLost);
   CPPUNIT_TEST_SUITE_END();
 
-  static constexpr unsigned kSeeds = 20;
+  static constexpr unsigned kSeeds = 40;
 
 public:
   /// Guards against the promotion of a replica that lacks acknowledged writes.
--- a/Tests/LibRelay/TestTakeover.cpp
+++ b/Tests/LibRelay/TestTakeover.cpp
@@ -21,9 +21,18 @@
   CPPUNIT_TEST(OrderWithoutEffectIsRepeatedForTheSameMember);
   CPPUNIT_TEST(OrderRefusedAnotherMemberIsPromoted);
   CPPUNIT_TEST(PrimaryLeavingIsReplacedWhileItServes);
+  CPPUNIT_TEST(PrimaryLeavingReplicaThatIsAheadIsPromoted);
+  CPPUNIT_TEST(PrimaryLeavingWritesGoOnBesideAReplicaThatReceivesNothing);
+  CPPUNIT_TEST(PrimaryLeavingSuccessorThatCatchesUpIsPromoted);
+  CPPUNIT_TEST(PrimaryLeavingSuccessorThatLostItsLogIsNotPromoted);
+  CPPUNIT_TEST(PrimaryLeavingOrderRefusedPrimaryKeepsServing);
   CPPUNIT_TEST(PrimaryLeavingNotReplacedInTimeGetsNoWork);
   CPPUNIT_TEST(ReplicaLeavingGetsNoReadWhileThePrimaryIsUnknown);
   CPPUNIT_TEST(ReplicaLeavingIsNotPromoted);
+  CPPUNIT_TEST(ReplicaLeavingThatIsAheadIsPromoted);
+  CPPUNIT_TEST(ReplicaAheadOutOfReachNothingIsOrdered);
+  CPPUNIT_TEST(ReplicaAheadRefusedNoOtherMemberIsPromoted);
+  CPPUNIT_TEST(FenceLiftedBeforeTheOrderIsRepeatedIsRenewed);
   CPPUNIT_TEST(FenceOfVanishedHolderIsReleased);
   CPPUNIT_TEST(WriteDuringFailoverIsServedByTheNewPrimary);
   CPPUNIT_TEST_SUITE_END();
@@ -157,6 +166,95 @@
     CPPUNIT_ASSERT(successor.mReceived == mFake->At("a").mReceived);
   }
 
+  /// Lets the primary write at other instances while a replica receives
+  /// nothing, and leave. This instance last heard of the replicas when both had
+  /// received the same.
+  void LeaveBesideDeafReplica(const std::string& aDeaf)
+  {
+    mFake->At(aDeaf).mIsReplicating = false;
+    mFake->At("a").mReceived = mFake->At("a").mApplied = { 1, 15 };
+    mFake->Run(2ms);
+    mFake->SetLeaving("a");
+    mFake->Publish();
+  }
+
+  /// Guards against the loss of acknowledged writes at a planned replacement:
+  /// the replica with the newest status receives nothing, and the other one has
+  /// received more than its last status says.
+  void PrimaryLeavingReplicaThatIsAheadIsPromoted()
+  {
+    for (const auto& [deaf, other] :
+         { std::pair("b", "c"), std::pair("c", "b") }) {
+      setUp();
+      LeaveBesideDeafReplica(deaf);
+      mFake->Run(1s);
+      CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->mOrders.size());
+      CPPUNIT_ASSERT_EQUAL(std::string(other), mFake->mOrders.front());
+      CPPUNIT_ASSERT(mFake->At(other).mReceived >= LogPosition(1, 15));
+    }
+  }
+
+  /// The replica that is to be promoted keeps receiving, so that writes are
+  /// acknowledged until the promotion takes effect.
+  void PrimaryLeavingWritesGoOnBesideAReplicaThatReceivesNothing()
+  {
+    mFake->mIsPromoting = false;
+    LeaveBesideDeafReplica("b");
+    while (mFake->mOrders.empty()) {
+      mFake->Run(20ms);
+    }
+    auto caller = mFake->Connect();
+    caller->Send("WRITE 1 x");
+    mFake->Run(100ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+    CPPUNIT_ASSERT(mFake->At(mFake->mOrders.front()).mReceived ==
+                   mFake->At("a").mReceived);
+  }
+
+  void PrimaryLeavingSuccessorThatCatchesUpIsPromoted()
+  {
+    LeaveBesideDeafReplica("b");
+    mFake->Run(60ms);
+    CPPUNIT_ASSERT(mFake->mOrders.empty());
+    mFake->At("b").mIsReplicating = true;
+    mFake->Run(60ms);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->mOrders.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), mFake->mOrders.front());
+  }
+
+  /// The directory still lists the database that started again as before.
+  void PrimaryLeavingSuccessorThatLostItsLogIsNotPromoted()
+  {
+    mFake->At("b").mReceived = mFake->At("b").mApplied = { 0, 0 };
+    mFake->At("b").mIsReplicating = false;
+    mFake->SetLeaving("a");
+    mFake->Publish();
+    mFake->Run(1s);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->mOrders.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), mFake->mOrders.front());
+  }
+
+  void PrimaryLeavingOrderRefusedPrimaryKeepsServing()
+  {
+    mFake->mIsPromoting = false;
+    mFake->SetLeaving("a");
+    mFake->Publish();
+    while (mFake->mOrders.empty()) {
+      mFake->Run(20ms);
+    }
+    const auto first = mFake->mOrders.front();
+    mFake->Group().OnPromotionAnswer(first, PromotionAnswer::Refused);
+    mFake->Run(200ms);
+    CPPUNIT_ASSERT(mFake->mOrders.back() != first);
+    CPPUNIT_ASSERT(mFake->At("a").mRole == Role::Primary);
+    auto caller = mFake->Connect();
+    caller->Send("WRITE 1 x");
+    mFake->Run(50ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
   void PrimaryLeavingNotReplacedInTimeGetsNoWork()
   {
     mFake->mIsLeaseFree = false;
@@ -204,6 +302,74 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), mFake->mOrders.front());
   }
 
+  /// A leaving replica counts towards acknowledgements until it ends.
+  void ReplicaLeavingThatIsAheadIsPromoted()
+  {
+    mFake->At("c").mReceived = { 1, 12 };
+    mFake->SetLeaving("c");
+    mFake->Publish();
+    mFake->At("a").mIsReachable = false;
+    mFake->At("a").mIsReplicating = false;
+    mFake->Run(3s);
+    CPPUNIT_ASSERT(!mFake->mOrders.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), mFake->mOrders.front());
+  }
+
+  /// Guards against the loss of writes that only the primary, which is silent,
+  /// and the replica that was reached last have received.
+  void ReplicaAheadOutOfReachNothingIsOrdered()
+  {
+    mFake->At("c").mReceived = { 1, 12 };
+    mFake->At("a").mIsReplicating = false;
+    mFake->At("a").mIsReachable = false;
+    while (mFake->At("c").mFencedTerm == 0) {
+      mFake->Run(1ms);
+    }
+    mFake->Run(3ms);
+    mFake->At("c").mIsReachable = false;
+    mFake->ResetConnections("c");
+    mFake->Run(3s);
+    CPPUNIT_ASSERT(mFake->mOrders.empty());
+    mFake->At("c").mIsReachable = true;
+    mFake->Run(3s);
+    CPPUNIT_ASSERT(!mFake->mOrders.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), mFake->mOrders.front());
+  }
+
+  void ReplicaAheadRefusedNoOtherMemberIsPromoted()
+  {
+    mFake->mIsPromoting = false;
+    mFake->At("c").mReceived = { 1, 12 };
+    mFake->At("a").mIsReplicating = false;
+    mFake->At("a").mIsReachable = false;
+    while (mFake->mOrders.empty()) {
+      mFake->Run(20ms);
+    }
+    mFake->Group().OnPromotionAnswer("c", PromotionAnswer::Refused);
+    mFake->Run(3s);
+    CPPUNIT_ASSERT(std::ranges::all_of(
+      mFake->mOrders, [](const auto& it) { return it == "c"; }));
+    CPPUNIT_ASSERT(mFake->mOrders.size() > 1);
+  }
+
+  /// Another holder of the lease may have lifted the fence, and the replica
+  /// received more since.
+  void FenceLiftedBeforeTheOrderIsRepeatedIsRenewed()
+  {
+    mFake->mIsPromoting = false;
+    mFake->At("a").mIsReachable = false;
+    while (mFake->mOrders.empty()) {
+      mFake->Run(20ms);
+    }
+    const auto first = mFake->mOrders.front();
+    const auto* other = first == "b" ? "c" : "b";
+    mFake->At(other).mFencedTerm = 0;
+    mFake->At("a").mReceived = { 1, 19 };
+    mFake->Run(2s);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->mOrders.size());
+    CPPUNIT_ASSERT(mFake->At(other).mFencedTerm != 0);
+  }
+
   void FenceOfVanishedHolderIsReleased()
   {
     mFake->At("b").mFencedTerm = 2;
