LibRelay: Take no position from an answer that states none

Cause: the last known position of the database was passed on with the time of the new request, and became a frontier that claims all writes acknowledged before it.

Change: such an answer counts as contact only.

--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -199,10 +199,11 @@
   if (mView.IsFailing(aUpstream)) {
     Log("upstream.regained", { { "upstream", aUpstream } });
   }
-  mView.ObservePosition(aUpstream,
-                        aAnswer.mPosition.value_or(mView.AppliedOf(aUpstream)),
-                        aSentAt,
-                        now);
+  if (aAnswer.mPosition) {
+    mView.ObservePosition(aUpstream, *aAnswer.mPosition, aSentAt, now);
+  } else {
+    mView.ObserveContact(aUpstream, now);
+  }
 }
 
 void
--- a/Tests/LibRelay/FakeUpstreams.cpp
+++ b/Tests/LibRelay/FakeUpstreams.cpp
@@ -397,7 +397,9 @@
       break;
   }
   answer.mTransactionState = aState;
-  answer.mPosition = aDatabase.mApplied;
+  if (!aDatabase.mWithoutPosition.contains(aCommand.mType)) {
+    answer.mPosition = aDatabase.mApplied;
+  }
   return answer;
 }
 
--- a/Tests/LibRelay/FakeUpstreams.h
+++ b/Tests/LibRelay/FakeUpstreams.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 
 namespace papayaline {
 
@@ -33,6 +34,8 @@
     bool mIsReplicating = true;
     /// Whether the database applies the log that it receives.
     bool mIsApplying = true;
+    /// Commands whose answers state no log position.
+    std::set<CommandType> mWithoutPosition;
     /// Refuses status requests, as a database without a free slot does.
     bool mIsWithoutSlots = false;
     unsigned mConnections = 0;
