LibRelay: Confirm a commit without a position by a later status

What callers would see: where a database answers a commit with "-", success for a commit that no majority holds, and a next read of the session that lacks it.

Cause: position 0.0 stood for the missing one, so that any earlier status of a replica confirmed the commit, and the session recorded no position.

Change: the end of the log in a status of the primary, requested after the answer, takes the place of the missing position.

Evidence: the four cases of TestStatedPositions on writes failed before (success without a replica, no position in the answer, success at a replaced primary, a read at a replica that lagged) and pass now, with test-relay (137), test-peer (98), test-decision (180).

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -325,6 +325,16 @@
            MajorityOf(GroupSize());
 }
 
+std::optional<LogPosition>
+GroupView::LogEndSince(const GroupPrimary& aPrimary, Instant aSince) const
+{
+  const auto* status = StatusOf(aPrimary.mName);
+  return status && status->mRole == Role::Primary &&
+             status->mTerm == aPrimary.mTerm && status->mRequestedAt >= aSince
+           ? std::optional(status->mReceived)
+           : std::nullopt;
+}
+
 bool
 GroupView::AreAllMembersFollowing(const GroupPrimary& aPrimary,
                                   Instant aSince) const
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -150,6 +150,11 @@
   bool IsPrimaryFollowed(const GroupPrimary& aPrimary, Instant aSince) const;
   /// Whether a majority holds aPosition in the term of aPrimary.
   bool IsReplicated(const GroupPrimary& aPrimary, LogPosition aPosition) const;
+  /// The end of the log that aPrimary reported as the primary in its last
+  /// status, if that was requested at or after aSince. It includes all that was
+  /// committed there before aSince.
+  std::optional<LogPosition> LogEndSince(const GroupPrimary& aPrimary,
+                                         Instant aSince) const;
   /// Whether every other member reported, in answer to a request sent at or
   /// after aSince, that it is a replica in the term of aPrimary and not fenced.
   /// If so, no other member had been promoted by aSince.
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -258,9 +258,10 @@
   struct UnconfirmedWrite
   {
     PendingRequestPointer mPending;
+    /// Its position includes the commit. Where the answer states none, that of
+    /// a later status of the primary is filled in.
     StatementAnswer mAnswer;
     GroupPrimary mPrimary;
-    LogPosition mCommitPosition;
     Instant mAnsweredAt;
   };
 
@@ -353,6 +354,7 @@
                          const StatementAnswer& aAnswer,
                          const GroupPrimary& aPrimary);
   void CheckUnconfirmedWrites();
+  void FillInPositions();
   bool IsConfirmed(const UnconfirmedWrite& aWrite, Instant aNow) const;
   void RequestEvidence(Instant aNow);
   /// The waiting requests and deferred attempts that need evidence.
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -38,24 +38,36 @@
 {
   ++mCounts.mWrites;
   aPending->mAwaitsConfirmation = true;
-  mUnconfirmedWrites.push_back({ aPending,
-                                 aAnswer,
-                                 aPrimary,
-                                 aAnswer.mPosition.value_or(LogPosition()),
-                                 mEnvironment.mNow() });
+  mUnconfirmedWrites.push_back(
+    { aPending, aAnswer, aPrimary, mEnvironment.mNow() });
   CheckUnconfirmedWrites();
   RequestEvidence(mEnvironment.mNow());
 }
 
+void
+RelayGroup::FillInPositions()
+{
+  for (auto& it : mUnconfirmedWrites) {
+    auto& position = it.mAnswer.mPosition;
+    if (!position) {
+      position = mView.LogEndSince(it.mPrimary, it.mAnsweredAt);
+    }
+  }
+}
+
 bool
 RelayGroup::IsConfirmed(const UnconfirmedWrite& aWrite, Instant aNow) const
 {
   const auto& primary = aWrite.mPrimary;
+  const auto& position = aWrite.mAnswer.mPosition;
+  if (!position) {
+    return false;
+  }
   const bool mayLackReplication =
     mEnvironment.mAcknowledgement == Acknowledgement::Leader &&
     mConfiguration.mSyncReplicas == 0 &&
     aNow - aWrite.mAnsweredAt >= mSettings.mReplicationWait;
-  return mView.IsReplicated(primary, aWrite.mCommitPosition) ||
+  return mView.IsReplicated(primary, *position) ||
          (mayLackReplication &&
           mView.AreAllMembersFollowing(primary, aWrite.mAnsweredAt));
 }
@@ -63,6 +75,7 @@
 void
 RelayGroup::CheckUnconfirmedWrites()
 {
+  FillInPositions();
   const auto now = mEnvironment.mNow();
   std::vector<UnconfirmedWrite> confirmed;
   std::vector<UnconfirmedWrite> failed;
@@ -178,6 +191,11 @@
   if (!primary || aNow < mNextEvidenceAt || !isNeeded) {
     return;
   }
+  const bool needsLogEnd = std::ranges::any_of(
+    mUnconfirmedWrites, [](const auto& it) { return !it.mAnswer.mPosition; });
+  if (needsLogEnd && mMembers.at(primary->mName).mCalls.empty()) {
+    RequestStatus(primary->mName, mCounts.mEvidenceRequests);
+  }
   mEvidenceMissingSince = mEvidenceMissingSince.value_or(aNow);
   mFollowersMissingSince = mFollowersMissingSince.value_or(aNow);
   const auto waited = OldestUnconfirmedAge(aNow);
--- a/Tests/LibRelay/TestStatedPositions.cpp
+++ b/Tests/LibRelay/TestStatedPositions.cpp
@@ -10,8 +10,14 @@
 {
   CPPUNIT_TEST_SUITE(TestStatedPositions);
   CPPUNIT_TEST(AnswerWithoutPositionMakesNoAgedReadStale);
+  CPPUNIT_TEST(WriteWithoutPositionIsNotAcknowledgedUnreplicated);
+  CPPUNIT_TEST(WriteWithoutPositionIsAcknowledgedAtThatOfAStatus);
+  CPPUNIT_TEST(WriteWithoutPositionAtReplacedPrimaryHasUnknownOutcome);
+  CPPUNIT_TEST(OwnReadAfterWriteWithoutPositionIncludesIt);
   CPPUNIT_TEST_SUITE_END();
 
+  static constexpr std::array kTransactions = { false, true };
+
   std::unique_ptr<FakeUpstreams> mFake;
 
   void SetRoute(Freshness aFreshness)
@@ -24,8 +30,26 @@
     mFake->SetRoute(route);
   }
 
+  /// Writes "x", as a single statement or in a transaction.
+  void Write(FakeUpstreams::Caller& aCaller, bool aIsTransaction)
+  {
+    if (aIsTransaction) {
+      aCaller.Send("BEGIN");
+    }
+    aCaller.Send("WRITE 1 x");
+    if (aIsTransaction) {
+      mFake->Run(30ms);
+      CPPUNIT_ASSERT(aCaller.IsAnswered());
+      aCaller.Send("COMMIT");
+    }
+  }
+
 public:
-  void setUp() override { mFake = std::make_unique<FakeUpstreams>(); }
+  void setUp() override
+  {
+    mFake = std::make_unique<FakeUpstreams>();
+    mFake->At("a").mWithoutPosition = { CommandType::Forward };
+  }
   void tearDown() override { mFake.reset(); }
 
   /// Guards against reads older than the allowed age: a position of the primary
@@ -55,6 +79,66 @@
     CPPUNIT_ASSERT(!aged->LastError());
     CPPUNIT_ASSERT(aged->Last().mPosition >= LogPosition(1, 20));
   }
+
+  /// Guards against losing an acknowledged write: without a position, the
+  /// statuses of replicas don't show that they hold it.
+  void WriteWithoutPositionIsNotAcknowledgedUnreplicated()
+  {
+    for (const bool isTransaction : kTransactions) {
+      setUp();
+      mFake->At("a").mIsReplicating = false;
+      auto caller = mFake->Connect();
+      Write(*caller, isTransaction);
+      mFake->Run(1200ms);
+      CPPUNIT_ASSERT(caller->LastError() == ErrorKind::OutcomeUnknown);
+    }
+  }
+
+  void WriteWithoutPositionIsAcknowledgedAtThatOfAStatus()
+  {
+    for (const bool isTransaction : kTransactions) {
+      setUp();
+      auto caller = mFake->Connect();
+      Write(*caller, isTransaction);
+      mFake->Run(100ms);
+      CPPUNIT_ASSERT(caller->IsAnswered());
+      CPPUNIT_ASSERT(!caller->LastError());
+      CPPUNIT_ASSERT(caller->Last().mPosition == LogPosition(1, 11));
+    }
+  }
+
+  void WriteWithoutPositionAtReplacedPrimaryHasUnknownOutcome()
+  {
+    mFake->Promote("b");
+    mFake->At("b").mReceived = mFake->At("b").mApplied = { 2, 30 };
+    auto caller = mFake->Connect();
+    caller->Send("WRITE 1 x");
+    mFake->Run(1200ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(caller->LastError() == ErrorKind::OutcomeUnknown ||
+                   mFake->At("a").mRan.empty());
+  }
+
+  void OwnReadAfterWriteWithoutPositionIncludesIt()
+  {
+    for (const bool isTransaction : kTransactions) {
+      setUp();
+      SetRoute(Freshness::ReadYourWrites);
+      for (const auto* it : { "b", "c" }) {
+        mFake->At(it).mIsApplying = false;
+      }
+      auto caller = mFake->Connect();
+      Write(*caller, isTransaction);
+      mFake->Run(200ms);
+      CPPUNIT_ASSERT(!caller->LastError());
+      caller->Send("READ 1");
+      mFake->Run(100ms);
+      CPPUNIT_ASSERT(!caller->LastError());
+      for (const auto* it : { "b", "c" }) {
+        CPPUNIT_ASSERT(mFake->At(it).mRan.empty());
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStatedPositions);
