LibDecision: Make frontiers of positions that a leading primary stated

What callers would see: reads older than allowed after a promotion or a restart of the primary.

Cause: any position of the database that is taken for the primary became a frontier. It may answer a request from before it was promoted, when it lagged; or it may have started again without its log, while the other members still confirm that nobody else leads.

Change: positions count from the answer that shows the lead on, and a primary whose stated position falls is no longer taken for it.

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -56,6 +56,7 @@
   if (aStatus.mRole == Role::Primary && aStatus.mTerm == mHighestTerm) {
     if (mPrimary != aStatus.mUpstream) {
       ForgetPrimary();
+      mLeadKnownAt = aNow;
     }
     mPrimary = aStatus.mUpstream;
     mLeadingAt = std::max(mLeadingAt, std::optional(aStatus.mRequestedAt));
@@ -78,9 +79,18 @@
   auto& known = mMemberStates[aName];
   RecordContact(known, aNow);
   known.mApplied = aApplied;
-  if (aName == mPrimary) {
-    AddSample(aApplied, aRequestedAt);
+  if (aName != mPrimary || aRequestedAt < mLeadKnownAt) {
+    return;
+  }
+  if (HasLostEntries(aApplied, aRequestedAt)) {
+    ObserveNotPrimary(aName);
+    return;
+  }
+  if (aApplied > mStatedPosition) {
+    mStatedPosition = aApplied;
+    mStatedAt = aNow;
   }
+  AddSample(aApplied, aRequestedAt);
 }
 
 void
@@ -349,10 +359,17 @@
          });
 }
 
+bool
+GroupView::HasLostEntries(LogPosition aPosition, Instant aRequestedAt) const
+{
+  return aPosition < mStatedPosition && aRequestedAt >= mStatedAt;
+}
+
 void
 GroupView::ForgetPrimary()
 {
   mPrimary.clear();
+  mStatedPosition = {};
   mLeadingAt.reset();
   mSamples.clear();
 }
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -174,6 +174,7 @@
     std::optional<Instant> mUnansweredSince;
     bool mIsFailing = false;
   };
+  /// A position that the primary stated in answer to a request.
   struct Sample
   {
     LogPosition mPosition;
@@ -207,6 +208,9 @@
                         Instant aSince,
                         LogPosition aPosition) const;
   void AddSample(LogPosition aPosition, Instant aRequestedAt);
+  /// Whether a position is lower than one that mPrimary stated earlier: it
+  /// started again without its log, or was rolled back.
+  bool HasLostEntries(LogPosition aPosition, Instant aRequestedAt) const;
   void RecordFrontiers();
   void ForgetPrimary();
 
@@ -217,6 +221,13 @@
   std::map<std::string, MemberState> mMemberStates;
   uint64_t mHighestTerm = 0;
   std::string mPrimary;
+  /// When the first answer arrived that showed that mPrimary leads. Answers to
+  /// earlier requests may be those of a replica.
+  Instant mLeadKnownAt;
+  /// The highest position that mPrimary stated as applied, and when that was
+  /// first known.
+  LogPosition mStatedPosition;
+  Instant mStatedAt;
   /// When the last request was sent whose answer shows that mPrimary leads.
   std::optional<Instant> mLeadingAt;
   std::deque<Sample> mSamples;
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -199,10 +199,16 @@
   if (mView.IsFailing(aUpstream)) {
     Log("upstream.regained", { { "upstream", aUpstream } });
   }
-  if (aAnswer.mPosition) {
-    mView.ObservePosition(aUpstream, *aAnswer.mPosition, aSentAt, now);
-  } else {
+  if (!aAnswer.mPosition) {
     mView.ObserveContact(aUpstream, now);
+    return;
+  }
+  const auto before = mView.Primary();
+  mView.ObservePosition(aUpstream, *aAnswer.mPosition, aSentAt, now);
+  if (mView.Primary() != before) {
+    Log("primary.denied",
+        { { "upstream", aUpstream }, { "reason", "its log lost entries" } });
+    RequestStatus(aUpstream, mCounts.mProbes);
   }
 }
 
--- a/Tests/LibDecision/TestGroupView.cpp
+++ b/Tests/LibDecision/TestGroupView.cpp
@@ -19,6 +19,9 @@
   CPPUNIT_TEST(FourMembersNeedTwoReplicasToAcknowledge);
   CPPUNIT_TEST(MissingEntryDoesNotShrinkTheMajority);
   CPPUNIT_TEST(FrontierNeedsEvidenceRequestedNoEarlier);
+  CPPUNIT_TEST(AnswerToARequestBeforeTheLeadIsNoFrontier);
+  CPPUNIT_TEST(PrimaryWhosePositionFallsIsNoPrimary);
+  CPPUNIT_TEST(LateAnswerWithALowerPositionKeepsThePrimary);
   CPPUNIT_TEST(FrontierIsCompleteUpToTheOldestReportOfTheMajority);
   CPPUNIT_TEST(ReplicaThatReceivesNothingDoesNotConfirmPrimaryAlone);
   CPPUNIT_TEST(BothReplicasConfirmPrimaryThatWasNotAsked);
@@ -162,6 +165,40 @@
     CPPUNIT_ASSERT(frontier && frontier->mPosition == LogPosition(1, 20));
   }
 
+  /// Guards against frontiers from the position of a replica: the request was
+  /// sent before it was promoted, and its answer arrives after the one that
+  /// shows the lead.
+  void AnswerToARequestBeforeTheLeadIsNoFrontier()
+  {
+    See("b", Role::Primary, 2, { 1, 12 }, 10ms);
+    See("c", Role::Replica, 2, { 1, 12 }, 10ms);
+    mView.ObservePosition("b", { 1, 5 }, mStart + 8ms, mStart + 12ms);
+    See("b", Role::Primary, 2, { 1, 12 }, 20ms);
+    See("c", Role::Replica, 2, { 1, 12 }, 20ms);
+    const auto frontier = mView.Frontiers().AtOrAfter(mStart + 6ms);
+    CPPUNIT_ASSERT(frontier && frontier->mPosition == LogPosition(1, 12));
+  }
+
+  /// A database that started again without its log, which the directory does
+  /// not show yet. What it states is no frontier.
+  void PrimaryWhosePositionFallsIsNoPrimary()
+  {
+    mView.ObservePosition("a", { 1, 10 }, mStart + 5ms, mStart + 7ms);
+    mView.ObservePosition("a", { 0, 0 }, mStart + 10ms, mStart + 12ms);
+    CPPUNIT_ASSERT(!mView.Primary());
+    See("b", Role::Replica, 1, { 1, 12 }, 20ms);
+    See("c", Role::Replica, 1, { 1, 12 }, 20ms);
+    const auto frontier = mView.Frontiers().AtOrAfter(mStart);
+    CPPUNIT_ASSERT(!frontier || frontier->mPosition >= LogPosition(1, 10));
+  }
+
+  void LateAnswerWithALowerPositionKeepsThePrimary()
+  {
+    mView.ObservePosition("a", { 1, 20 }, mStart + 10ms, mStart + 12ms);
+    mView.ObservePosition("a", { 1, 15 }, mStart + 11ms, mStart + 13ms);
+    CPPUNIT_ASSERT(mView.Primary() == mPrimary);
+  }
+
   void FrontierIsCompleteUpToTheOldestReportOfTheMajority()
   {
     See("b", Role::Replica, 1, { 1, 12 }, 10ms);
--- a/Tests/LibRelay/TestStatedPositions.cpp
+++ b/Tests/LibRelay/TestStatedPositions.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(WriteWithoutPositionIsAcknowledgedAtThatOfAStatus);
   CPPUNIT_TEST(WriteWithoutPositionAtReplacedPrimaryHasUnknownOutcome);
   CPPUNIT_TEST(OwnReadAfterWriteWithoutPositionIncludesIt);
+  CPPUNIT_TEST(AgedReadWherePrimaryLostItsLogIsNotStale);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::array kTransactions = { false, true };
@@ -139,6 +140,38 @@
       }
     }
   }
+
+  /// Guards against frontiers from a primary that started again without its
+  /// log, which the directory does not show yet: replicas that lag would pass.
+  void AgedReadWherePrimaryLostItsLogIsNotStale()
+  {
+    SetRoute(Freshness::Latest);
+    mFake->At("a").mWithoutPosition.clear();
+    for (const auto* it : { "b", "c" }) {
+      mFake->At(it).mIsApplying = false;
+    }
+    mFake->At("a").mReceived = mFake->At("a").mApplied = { 1, 20 };
+    auto caller = mFake->Connect();
+    caller->Send("READ 1");
+    mFake->Run(2s);
+    mFake->mIsLeaseFree = false;
+    auto& lost = mFake->At("a");
+    lost.mIsReplicating = false;
+    lost.mRole = Role::Replica;
+    lost.mReceived = lost.mApplied = { 0, 0 };
+    mFake->ResetConnections("a");
+    mFake->Run(20ms);
+    caller->Send("SET name value");
+    caller->Send("READ 1");
+    SetRoute(Freshness::BoundedStaleness);
+    auto aged = mFake->Connect();
+    mFake->Run(1450ms);
+    aged->Send("READ 2");
+    mFake->Run(100ms);
+    for (const auto* it : { "b", "c" }) {
+      CPPUNIT_ASSERT(mFake->At(it).mRan.empty());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStatedPositions);
