LibDecision: Let the successor reach the log of the leaving primary

What callers would see: acknowledged writes gone after a planned replacement, where the replica that acknowledged them has left the directory and the other one receives nothing.

Cause: the successor was compared with the fenced replicas only. One that is gone can't be fenced, and the leaving primary, which has the writes, was not asked.

Change: the first status of the leaving primary in an attempt names a position that the successor has to reach too. Without an answer of the primary the fences decide.

--- a/Libraries/LibDecision/TakeoverMachine.cpp
+++ b/Libraries/LibDecision/TakeoverMachine.cpp
@@ -206,6 +206,7 @@
   }
   mFenceTerm = aView.HighestFencedTerm() + 1;
   mSuccessor.clear();
+  mOldLogEnd.reset();
   mExcludedMembers.clear();
   mState = State::Fencing;
   mAttemptStartedAt = aNow;
@@ -275,8 +276,10 @@
     }
   }
   if (IsPlanned()) {
-    mActions.push_back(
-      SendControlCommand{ mSuccessor, ControlCommand::RequestStatus, 0 });
+    for (const auto& it : { mSuccessor, mOldPrimary }) {
+      mActions.push_back(
+        SendControlCommand{ it, ControlCommand::RequestStatus, 0 });
+    }
   } else if (!mOldPrimary.empty()) {
     mActions.push_back(
       SendControlCommand{ mOldPrimary, ControlCommand::StepDown, mFenceTerm });
@@ -318,6 +321,7 @@
 {
   const auto* status = aView.StatusOf(aName);
   return status && status->mRequestedAt >= mAttemptStartedAt &&
+         (!mOldLogEnd || status->mReceived >= *mOldLogEnd) &&
          std::ranges::all_of(aView.Members(), [&](const auto& it) {
            return !IsFenced(aView, it) ||
                   aView.StatusOf(it.mName)->mReceived <= status->mReceived;
@@ -331,6 +335,10 @@
     Finish(aView, aNow, "superseded");
     return;
   }
+  if (IsPlanned() && !mOldLogEnd) {
+    mOldLogEnd =
+      aView.LogEndSince({ mOldPrimary, mOldTerm }, mAttemptStartedAt);
+  }
   if (IsPlanned() && mSuccessor.empty()) {
     if (ReplaceSuccessor(aView, aNow)) {
       SendFences(aView, aNow);
--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -120,8 +120,8 @@
 /// A primary that is leaving serves until the promotion takes effect. In this
 /// case the successor is proposed first, and enough other replicas are fenced
 /// that no majority is possible without the successor. It is promoted once its
-/// log reaches the end of theirs. If it does not in time, another replica takes
-/// its place.
+/// log reaches the end of theirs, and what the primary reported. If it does not
+/// in time, another replica takes its place.
 ///
 /// What members reported before the attempt proves nothing about their logs: a
 /// replica may have received more since, and one that started again may have
@@ -169,7 +169,7 @@
   bool IsFenced(const GroupView& aView, const GroupMember& aMember) const;
   bool HasEnoughFences(const GroupView& aView) const;
   /// Whether a member reported, since the attempt started, a log that reaches
-  /// the end of the logs of all fenced replicas.
+  /// mOldLogEnd and the end of the logs of all fenced replicas.
   bool HasFencedEntries(const GroupView& aView, const std::string& aName) const;
   bool NeedsFence(const GroupView& aView, const GroupMember& aMember) const;
   std::optional<TakeoverCause> FindCause(const GroupView& aView) const;
@@ -223,6 +223,9 @@
   uint64_t mFenceTerm = 0;
   uint64_t mOldTerm = 0;
   std::string mOldPrimary;
+  /// The end of the log that the leaving primary first reported in the attempt.
+  /// Replicas that are gone may have acknowledged what comes before.
+  std::optional<LogPosition> mOldLogEnd;
   std::string mSuccessor;
   /// Members that the platform refused to promote, or that did not catch up.
   std::set<std::string> mExcludedMembers;
--- a/Tests/LibRelay/TestTakeover.cpp
+++ b/Tests/LibRelay/TestTakeover.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(PrimaryLeavingWritesGoOnBesideAReplicaThatReceivesNothing);
   CPPUNIT_TEST(PrimaryLeavingSuccessorThatCatchesUpIsPromoted);
   CPPUNIT_TEST(PrimaryLeavingSuccessorThatLostItsLogIsNotPromoted);
+  CPPUNIT_TEST(PrimaryLeavingAndReplicaGoneSuccessorCatchesUpFirst);
   CPPUNIT_TEST(PrimaryLeavingOrderRefusedPrimaryKeepsServing);
   CPPUNIT_TEST(PrimaryLeavingNotReplacedInTimeGetsNoWork);
   CPPUNIT_TEST(ReplicaLeavingGetsNoReadWhileThePrimaryIsUnknown);
@@ -235,6 +236,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), mFake->mOrders.front());
   }
 
+  /// Guards against the loss of writes that a replica acknowledged which is
+  /// gone: only the leaving primary still has them.
+  void PrimaryLeavingAndReplicaGoneSuccessorCatchesUpFirst()
+  {
+    mFake->RemoveMember("c");
+    LeaveBesideDeafReplica("b");
+    mFake->Run(2s);
+    CPPUNIT_ASSERT(mFake->mOrders.empty());
+    mFake->At("b").mIsReplicating = true;
+    mFake->Run(1s);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), mFake->mOrders.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), mFake->mOrders.front());
+  }
+
   void PrimaryLeavingOrderRefusedPrimaryKeepsServing()
   {
     mFake->mIsPromoting = false;
