Tests/LibRelay: Explore answers without a position

Change: databases state a position in half of their answers, drawn apart from the other draws. A unit test lets them state none at all, on all kinds of routes.

--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -205,6 +205,7 @@
   , mStoreRandom(aSeed)
   , mKeyRandom(aSeed)
   , mSpreadRandom(aSeed)
+  , mPositionRandom(aSeed)
 {
   for (const auto* it : { "a", "b", "c" }) {
     Database database;
@@ -749,7 +750,12 @@
     };
   }
   answer.mTransactionState = state;
-  answer.mPosition = EndOf(aDatabase, aDatabase.mApplied);
+  const bool isPositionStated =
+    mDisruption != Disruption::AnswersWithoutPosition ||
+    std::bernoulli_distribution(0.5)(mPositionRandom);
+  if (isPositionStated) {
+    answer.mPosition = EndOf(aDatabase, aDatabase.mApplied);
+  }
   return answer;
 }
 
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -28,6 +28,8 @@
     /// Callers have accounts, whose keys are taken away and given back, and
     /// instances lose the store one by one.
     KeysTakenAway,
+    /// Databases state a position in every other answer, drawn at random.
+    AnswersWithoutPosition,
   };
 
   /// Where the statements of a session run.
@@ -194,6 +196,8 @@
   /// Draws the instances of statements, so that they don't change the other
   /// draws.
   std::mt19937 mSpreadRandom;
+  /// Draws the answers without a position, for the same reason.
+  std::mt19937 mPositionRandom;
   RelayConfiguration mConfiguration;
   size_t mUnauthorized = 0;
   size_t mRestores = 0;
--- a/Tests/LibRelay/TestExploration.cpp
+++ b/Tests/LibRelay/TestExploration.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(WritesAcknowledgedByMajoritiesAreNotLost);
   CPPUNIT_TEST(PrimariesReplacedBesideDeafReplicasNoReadIsStale);
   CPPUNIT_TEST(OwnReadsAtAnyInstanceIncludeTheSessionsWrites);
+  CPPUNIT_TEST(AnswersWithoutPositionNoReadIsStale);
   CPPUNIT_TEST(KeysTakenAwayNothingRunsAfterTheTimeout);
   CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +87,17 @@
     }
   }
 
+  /// Guards against a position that is taken for that of a later moment.
+  void AnswersWithoutPositionNoReadIsStale()
+  {
+    for (const auto it :
+         { Freshness::BoundedStaleness, Freshness::ReadYourWrites }) {
+      Explore(it,
+              Acknowledgement::Leader,
+              RelayWorld::Disruption::AnswersWithoutPosition);
+    }
+  }
+
   void KeysTakenAwayNothingRunsAfterTheTimeout()
   {
     Explore(Freshness::ReadYourWrites,
--- a/Tests/LibRelay/TestStatedPositions.cpp
+++ b/Tests/LibRelay/TestStatedPositions.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(WriteWithoutPositionIsAcknowledgedAtThatOfAStatus);
   CPPUNIT_TEST(WriteWithoutPositionAtReplacedPrimaryHasUnknownOutcome);
   CPPUNIT_TEST(OwnReadAfterWriteWithoutPositionIncludesIt);
+  CPPUNIT_TEST(DatabasesThatStateNoPositionAreServed);
   CPPUNIT_TEST(AgedReadWherePrimaryLostItsLogIsNotStale);
   CPPUNIT_TEST_SUITE_END();
 
@@ -141,6 +142,37 @@
     }
   }
 
+  /// Statuses, which tell the end of the received log, suffice: reads run at
+  /// the primary, since no replica states what it has applied.
+  void DatabasesThatStateNoPositionAreServed()
+  {
+    for (const auto* it : { "a", "b", "c" }) {
+      mFake->At(it).mWithoutPosition = { CommandType::Forward,
+                                         CommandType::BeginReadOnly,
+                                         CommandType::Begin,
+                                         CommandType::Status };
+    }
+    for (const auto freshness : { Freshness::Latest,
+                                  Freshness::BoundedStaleness,
+                                  Freshness::ReadYourWrites }) {
+      SetRoute(freshness);
+      auto caller = mFake->Connect();
+      for (const auto* text : { "WRITE 1 x",
+                                "READ 1",
+                                "BEGIN READ",
+                                "READ 1",
+                                "COMMIT",
+                                "BEGIN",
+                                "WRITE 1 y",
+                                "COMMIT" }) {
+        caller->Send(text);
+        mFake->Run(300ms);
+        CPPUNIT_ASSERT(caller->IsAnswered());
+        CPPUNIT_ASSERT(!caller->LastError());
+      }
+    }
+  }
+
   /// Guards against frontiers from a primary that started again without its
   /// log, which the directory does not show yet: replicas that lag would pass.
   void AgedReadWherePrimaryLostItsLogIsNotStale()
