--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -2,6 +2,7 @@
 #include "SoakCaller.h"
 
 #include <QCoreApplication>
+#include <QDir>
 #include <cstdio>
 #include <docopt.h>
 #include <fstream>
@@ -199,6 +200,10 @@
   options.mAccounts = static_cast<int>(arguments["--accounts"].asLong());
   if (arguments["--logs"]) {
     options.mLogs = QString::fromStdString(arguments["--logs"].asString());
+    if (!QDir().mkpath(options.mLogs)) {
+      std::fprintf(stderr, "can't create %s\n", qPrintable(options.mLogs));
+      return 2;
+    }
   }
   std::vector<uint64_t> seeds;
   if (arguments["--seed-file"]) {
