Tests/StandIns: Follow a primary that was promoted while isolated

Trace: db-a was isolated at 6.88 s and promoted at 7.05 s, while db-c was isolated too. At the end both isolations were lifted, that of db-c first. A stand-in replica catches up at events only: when its own isolation ends, and then db-a could not be reached yet, or with the next commit. The instances send no writes to a primary that no replica follows, so there was none. The databases of the protocol receive at any time.

Change: when the isolation of a database ends, all that can reach the primary catch up.

The check of the soak is as it was.

--- a/Tests/StandIns/Line/LineDatabases.cpp
+++ b/Tests/StandIns/Line/LineDatabases.cpp
@@ -121,11 +121,9 @@
 void
 LineDatabases::SetIsolated(const std::string& aName, bool aIsIsolated)
 {
-  auto& database = At(aName);
-  database.mIsIsolated = aIsIsolated;
-  if (!aIsIsolated && database.mIsAlive && database.mFencedTerm == 0) {
-    CatchUp(database);
-  }
+  At(aName).mIsIsolated = aIsIsolated;
+  // A primary that was promoted while it was isolated is followed from now on.
+  std::ranges::for_each(mDatabases, [this](const auto& it) { CatchUp(*it); });
 }
 
 bool
