review: Show instances that abort when their descriptors are used up

Sought: whether an instance survives the loss of other machines, when their callers come to it (Fault).

--- a/review/standins-3/Deployment.cpp
+++ b/review/standins-3/Deployment.cpp
@@ -5,6 +5,7 @@
 #include <QTimer>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 
 namespace review {
 
@@ -126,8 +127,13 @@
   }
 }
 
-Deployment::Deployment(const QString& aProgram, Record& aRecord)
-  : mRecord(aRecord)
+Deployment::Deployment(const QString& aProgram,
+                       Record& aRecord,
+                       int aInstances,
+                       int aDescriptors)
+  : mProgram(aProgram)
+  , mRecord(aRecord)
+  , mDescriptors(aDescriptors)
   , mDatabases(kService,
                { "i-0a", "i-0b", "i-0c" },
                [this](const QString& aLine) { mRecord(aLine); })
@@ -147,11 +153,13 @@
   beats->start(kHeartbeatMs);
   PublishConfiguration();
   PublishDatabases();
-  for (int n = 0; n < kInstances; ++n) {
+  for (int n = 0; n < aInstances; ++n) {
     mPorts.push_back({ FreePort(), FreePort(), FreePort(), FreePort() });
     mLinks.push_back(std::make_unique<Link>(mStore.Port()));
     mLinks.push_back(std::make_unique<Link>(mDuty.Port()));
-    StartInstance(n, aProgram);
+    mInstances.push_back(nullptr);
+    mOwnEnds.push_back(0);
+    StartInstance(n);
   }
 }
 
@@ -230,7 +238,7 @@
 }
 
 void
-Deployment::StartInstance(int aNumber, const QString& aProgram)
+Deployment::StartInstance(int aNumber)
 {
   const auto& ports = mPorts[size_t(aNumber)];
   const auto local = [](quint16 aPort) {
@@ -263,15 +271,34 @@
     while (at->canReadLine()) {
       const auto line = at->readLine().trimmed();
       if (line.contains("takeover.") || line.contains("duty.") ||
-          line.contains("promotion.")) {
+          line.contains("promotion.") || !line.startsWith('{')) {
         mRecord("log of " + InstanceName(aNumber) + ": " + line);
       }
     }
   });
   // The instance ends with this process, however that ends.
-  process->setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
-  process->start(aProgram, { "--settings=" + path });
-  mInstances.push_back(std::move(process));
+  process->setChildProcessModifier([limit = mDescriptors] {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (limit > 0) {
+      const rlimit it{ rlim_t(limit), rlim_t(limit) };
+      setrlimit(RLIMIT_NOFILE, &it);
+    }
+  });
+  process->start(mProgram, { "--settings=" + path });
+  connect(at, &QProcess::finished, this, [this, aNumber](int aCode) {
+    constexpr int kRestartMs = 1000;
+    ++mOwnEnds[size_t(aNumber)];
+    mRecord(QString("%1 ends by itself, code %2")
+              .arg(InstanceName(aNumber))
+              .arg(aCode));
+    QTimer::singleShot(
+      kRestartMs, this, [this, aNumber] { StartInstance(aNumber); });
+  });
+  auto& slot = mInstances[size_t(aNumber)];
+  if (slot) {
+    mEnded.push_back(std::move(slot));
+  }
+  slot = std::move(process);
 }
 
 bool
@@ -283,18 +310,43 @@
 }
 
 bool
-Deployment::AreAllReady()
+Deployment::AreAllReady() const
 {
-  return std::ranges::all_of(mPorts, [](const auto& it) {
-    QTcpSocket socket;
-    socket.connectToHost(QHostAddress::LocalHost, it.mReady);
-    if (!socket.waitForConnected(100)) {
+  for (int n = 0; n < int(mPorts.size()); ++n) {
+    if (!IsReady(n)) {
       return false;
     }
-    socket.write("GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
-    return socket.waitForReadyRead(100) &&
-           socket.readAll().split(' ').value(1) == "200";
-  });
+  }
+  return true;
+}
+
+bool
+Deployment::IsReady(int aNumber) const
+{
+  QTcpSocket socket;
+  socket.connectToHost(QHostAddress::LocalHost, mPorts[size_t(aNumber)].mReady);
+  if (!socket.waitForConnected(100)) {
+    return false;
+  }
+  socket.write("GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+  return socket.waitForReadyRead(100) &&
+         socket.readAll().split(' ').value(1) == "200";
+}
+
+void
+Deployment::Remove(int aNumber)
+{
+  mRecord(InstanceName(aNumber) + " is removed for good");
+  auto& process = mInstances[size_t(aNumber)];
+  process->disconnect();
+  process->kill();
+  process->waitForFinished(1000);
+}
+
+void
+Deployment::CutWatches()
+{
+  mStore.CutWatches();
 }
 
 void
@@ -320,7 +372,7 @@
 void
 Deployment::SetPartitioned(const QString& aInstance, bool aIsPartitioned)
 {
-  for (int n = 0; n < kInstances; ++n) {
+  for (int n = 0; n < int(mInstances.size()); ++n) {
     if (InstanceName(n) == aInstance) {
       mLinks[size_t(n) * 2]->SetPartitioned(aIsPartitioned);
       mLinks[size_t(n) * 2 + 1]->SetPartitioned(aIsPartitioned);
--- a/review/standins-3/Deployment.h
+++ b/review/standins-3/Deployment.h
@@ -66,13 +66,32 @@
 class Deployment : public QObject
 {
 public:
-  static constexpr int kInstances = 3;
-
-  Deployment(const QString& aProgram, Record& aRecord);
+  /// aDescriptors limits the open files of each instance; 0 for no limit of its
+  /// own.
+  Deployment(const QString& aProgram,
+             Record& aRecord,
+             int aInstances = 3,
+             int aDescriptors = 0);
   ~Deployment() override;
 
   /// Whether every instance answers "ready".
-  bool AreAllReady();
+  bool AreAllReady() const;
+  bool IsReady(int aNumber) const;
+  quint16 CallerPort(int aNumber) const
+  {
+    return mPorts[size_t(aNumber)].mCallers;
+  }
+  const QProcess& Instance(int aNumber) const
+  {
+    return *mInstances[size_t(aNumber)];
+  }
+  /// Kills an instance, which does not come back.
+  void Remove(int aNumber);
+  /// How often the process of an instance ended by itself. It is started again
+  /// after a second.
+  int OwnEnds(int aNumber) const { return mOwnEnds[size_t(aNumber)]; }
+  /// Cuts off the watches of the store that wait.
+  void CutWatches();
   void StartCallers();
   void StopCallers();
   Databases& Service() { return mDatabases; }
@@ -97,10 +116,12 @@
 
   void PublishDatabases();
   void PublishConfiguration();
-  void StartInstance(int aNumber, const QString& aProgram);
+  void StartInstance(int aNumber);
   static quint16 FreePort();
 
+  QString mProgram;
   Record& mRecord;
+  int mDescriptors = 0;
   QTemporaryDir mDirectory;
   Store mStore;
   Databases mDatabases;
@@ -110,6 +131,9 @@
   std::vector<Ports> mPorts;
   std::vector<std::unique_ptr<Link>> mLinks;
   std::vector<std::unique_ptr<QProcess>> mInstances;
+  std::vector<int> mOwnEnds;
+  /// Keeps the processes that have ended until the deployment ends.
+  std::vector<std::unique_ptr<QProcess>> mEnded;
   std::vector<std::unique_ptr<Caller>> mCallers;
 };
 
--- a/review/standins-3/Platform.cpp
+++ b/review/standins-3/Platform.cpp
@@ -71,6 +71,10 @@
         if (!socket) {
           return;
         }
+        if (aStatus == 0) {
+          socket->abort();
+          return;
+        }
         const auto body = QJsonDocument(aBody).toJson(QJsonDocument::Compact);
         socket->write("HTTP/1.1 " + QByteArray::number(aStatus) +
                       " -\r\nContent-Type: application/json\r\n"
@@ -223,6 +227,15 @@
   Record(aKind, object, true);
 }
 
+void
+Store::CutWatches()
+{
+  const auto watches = std::exchange(mWatches, {});
+  for (const auto& it : watches) {
+    it.mRespond(0, {});
+  }
+}
+
 void
 Store::Record(const QString& aKind, const QJsonObject& aObject, bool aIsDeleted)
 {
--- a/review/standins-3/Platform.h
+++ b/review/standins-3/Platform.h
@@ -22,6 +22,7 @@
 class HttpServer : public QObject
 {
 public:
+  /// A status of 0 closes the connection without an answer.
   using Respond = std::function<void(int aStatus, const QJsonObject& aBody)>;
   using Handler = std::function<void(const HttpRequest&, const Respond&)>;
 
@@ -46,6 +47,8 @@
   /// Writes without a condition, as the operator and the databases do.
   void Put(const QString& aKind, const QString& aName, const QJsonValue& aSpec);
   void Remove(const QString& aKind, const QString& aName);
+  /// Closes the connections of the watches that wait.
+  void CutWatches();
 
 private:
   struct Change
