review: Show acknowledged writes lost beside a list that is short

Sought: the entry on an instance whose list lacks the newest of four members (LOST, with syncReplicas 1). Shown by review/11/run.sh: one instance is partitioned from the store while a new database starts and the primary is replaced as planned. It acknowledges writes by the primary and the replica that is left unfenced; the successor receives nothing while its promotion is carried out, and lacks them.

--- a/review/standins-3/Databases.cpp
+++ b/review/standins-3/Databases.cpp
@@ -40,8 +40,10 @@
 
 Databases::Databases(QString aService,
                      const std::vector<QString>& aNames,
+                     int aSyncReplicas,
                      std::function<void(const QString&)> aRecord)
   : mService(std::move(aService))
+  , mSyncReplicas(aSyncReplicas)
   , mRecord(std::move(aRecord))
 {
   for (const auto& it : aNames) {
@@ -51,16 +53,72 @@
     // The services have held data before.
     database->mLog.push_back({ { 1, 1 }, "0", "first" });
     database->mApplied = 1;
-    database->mServer = std::make_unique<QTcpServer>();
-    database->mServer->listen(QHostAddress::LocalHost);
-    connect(database->mServer.get(),
-            &QTcpServer::newConnection,
-            this,
-            [this, at = database.get()] { Accept(*at); });
+    Listen(*database);
     mDatabases.push_back(std::move(database));
   }
 }
 
+void
+Databases::Listen(Database& aDatabase)
+{
+  aDatabase.mServer = std::make_unique<QTcpServer>();
+  aDatabase.mServer->listen(QHostAddress::LocalHost);
+  connect(aDatabase.mServer.get(),
+          &QTcpServer::newConnection,
+          this,
+          [this, at = &aDatabase] { Accept(*at); });
+}
+
+void
+Databases::Add(const QString& aName)
+{
+  const auto& primary = Primary();
+  auto database = std::make_unique<Database>();
+  database->mName = aName;
+  database->mTerm = primary.mTerm;
+  database->mLog = primary.mLog;
+  database->mApplied = primary.mApplied;
+  Listen(*database);
+  mRecord("database " + aName + " starts");
+  mDatabases.push_back(std::move(database));
+}
+
+void
+Databases::SetDeaf(const QString& aName, bool aIsDeaf)
+{
+  mRecord("database " + aName +
+          (aIsDeaf ? " receives nothing from now on" : " receives again"));
+  Find(aName)->mIsDeaf = aIsDeaf;
+  Replicate();
+}
+
+void
+Databases::Deliver(Database& aDatabase,
+                   const QPointer<QTcpSocket>& aSocket,
+                   const QByteArray& aAnswer,
+                   Position aCommitted)
+{
+  if (!aSocket) {
+    return;
+  }
+  if (!aDatabase.mIsPrimary) {
+    // Its outcome is unknown: the answer is lost.
+    aSocket->abort();
+    return;
+  }
+  const auto receivers = std::ranges::count_if(mDatabases, [&](const auto& it) {
+    return it.get() != &aDatabase && it->mTerm == aDatabase.mTerm &&
+           it->Received() >= aCommitted;
+  });
+  if (receivers >= mSyncReplicas) {
+    aSocket->write(aAnswer);
+    return;
+  }
+  QTimer::singleShot(kMessageMs, this, [=, this, &aDatabase] {
+    Deliver(aDatabase, aSocket, aAnswer, aCommitted);
+  });
+}
+
 Databases::~Databases()
 {
   for (const auto& it : mDatabases) {
@@ -138,7 +196,7 @@
   for (const auto& at : mDatabases) {
     auto& it = *at;
     if (&it == &primary || !it.mIsRunning || it.mIsPrimary ||
-        it.mFencedTerm != 0 || !primary.mIsPrimary) {
+        it.mFencedTerm != 0 || it.mIsDeaf || !primary.mIsPrimary) {
       continue;
     }
     it.mTerm = primary.mTerm;
@@ -184,8 +242,15 @@
         session->mBuffer.remove(0, end + 2);
         const QPointer<QTcpSocket> weak(socket);
         QTimer::singleShot(WorkOf(line), this, [=, this, &aDatabase] {
-          if (weak) {
-            weak->write(Start(aDatabase, *session, line));
+          if (!weak) {
+            return;
+          }
+          const auto before = aDatabase.mLog.size();
+          const auto answer = Start(aDatabase, *session, line);
+          if (aDatabase.mLog.size() > before) {
+            Deliver(aDatabase, weak, answer, aDatabase.Received());
+          } else {
+            weak->write(answer);
           }
         });
       }
--- a/review/standins-3/Databases.h
+++ b/review/standins-3/Databases.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <QPointer>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <functional>
@@ -36,6 +37,8 @@
     QString mName;
     bool mIsPrimary = false;
     bool mIsRunning = true;
+    /// Receives nothing from the primary.
+    bool mIsDeaf = false;
     quint64 mTerm = 1;
     quint64 mFencedTerm = 0;
     std::vector<LogEntry> mLog;
@@ -51,10 +54,14 @@
   /// aRecord receives a line for each event worth telling.
   Databases(QString aService,
             const std::vector<QString>& aNames,
+            int aSyncReplicas,
             std::function<void(const QString&)> aRecord);
   ~Databases() override;
 
   std::vector<std::unique_ptr<Database>>& All() { return mDatabases; }
+  /// Starts a database more, as a replica that has the primary's log.
+  void Add(const QString& aName);
+  void SetDeaf(const QString& aName, bool aIsDeaf);
   Database* Find(const QString& aName);
   Database& Primary();
   /// Names the database that takes over. Returns the status of the answer.
@@ -74,7 +81,13 @@
     std::map<QByteArray, std::pair<bool, QByteArray>> mPrepared;
   };
 
+  void Listen(Database& aDatabase);
   void Accept(Database& aDatabase);
+  /// Sends an answer once enough replicas have received what it acknowledges.
+  void Deliver(Database& aDatabase,
+               const QPointer<QTcpSocket>& aSocket,
+               const QByteArray& aAnswer,
+               Position aCommitted);
   /// The time that a statement takes, in milliseconds.
   static int WorkOf(const QByteArray& aText);
   QByteArray Start(Database& aDatabase,
@@ -89,6 +102,7 @@
   void CompleteApplying(Database& aDatabase);
 
   QString mService;
+  int mSyncReplicas = 0;
   std::function<void(const QString&)> mRecord;
   std::vector<std::unique_ptr<Database>> mDatabases;
   quint64 mSignatures = 0;
--- a/review/standins-3/Deployment.cpp
+++ b/review/standins-3/Deployment.cpp
@@ -2,7 +2,9 @@
 
 #include <QHostAddress>
 #include <QJsonArray>
+#include <QRandomGenerator>
 #include <QTimer>
+#include <set>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -120,6 +122,9 @@
     ++mCounts.mErrors[aLine.split(' ').value(1)];
   } else if (aLine.startsWith("COMPLETE ")) {
     ++mCounts.mSucceeded;
+    if (mText.startsWith("WRITE ") && mOnWritten) {
+      mOnWritten(mNumber, mText.split(' ').value(2));
+    }
   } else if (aLine.startsWith("READY ")) {
     mIsOpen = true;
     mIsWaiting = false;
@@ -130,12 +135,15 @@
 Deployment::Deployment(const QString& aProgram,
                        Record& aRecord,
                        int aInstances,
-                       int aDescriptors)
+                       int aDescriptors,
+                       int aSyncReplicas)
   : mProgram(aProgram)
   , mRecord(aRecord)
   , mDescriptors(aDescriptors)
+  , mSyncReplicas(aSyncReplicas)
   , mDatabases(kService,
                { "i-0a", "i-0b", "i-0c" },
+               aSyncReplicas,
                [this](const QString& aLine) { mRecord(aLine); })
   , mDuty([this](const PromotionOrder& aOrder) {
     const auto status = mDatabases.Promote(aOrder.mDatabase);
@@ -172,36 +180,47 @@
   }
 }
 
+/// Below the range of outgoing connections, which could take the port before
+/// the instance listens.
 quint16
 Deployment::FreePort()
 {
-  QTcpServer server;
-  server.listen(QHostAddress::LocalHost);
-  return server.serverPort();
+  constexpr int kFirst = 20000;
+  constexpr int kLast = 32000;
+  static std::set<quint16> sUsed;
+  while (true) {
+    const auto port =
+      static_cast<quint16>(QRandomGenerator::global()->bounded(kFirst, kLast));
+    QTcpServer server;
+    if (!sUsed.contains(port) && server.listen(QHostAddress::LocalHost, port)) {
+      sUsed.insert(port);
+      return port;
+    }
+  }
 }
 
 void
 Deployment::PublishConfiguration()
 {
-  mStore.Put(
-    "config",
-    "main",
-    QJsonObject{
-      { "configVersion", 7 },
-      { "routes",
-        QJsonArray{ QJsonObject{ { "name", "r-1" },
-                                 { "database", kDatabase },
-                                 { "pathPrefix", "/" },
-                                 { "routeKind", "primary" },
-                                 { "timeoutMs", 1000 },
-                                 { "targetLatencyMs", 200 },
-                                 { "priority", 1 },
-                                 { "backend", kService },
-                                 { "maxAttempts", 2 } } } },
-      { "backends",
-        QJsonArray{ QJsonObject{
-          { "name", kService }, { "maxConns", 22 }, { "syncReplicas", 0 } } } },
-      { "limits", QJsonObject{ { "txIdleMs", 3000 } } } });
+  mStore.Put("config",
+             "main",
+             QJsonObject{ { "configVersion", 7 },
+                          { "routes",
+                            QJsonArray{ QJsonObject{ { "name", "r-1" },
+                                                     { "database", kDatabase },
+                                                     { "pathPrefix", "/" },
+                                                     { "routeKind", "primary" },
+                                                     { "timeoutMs", 1000 },
+                                                     { "targetLatencyMs", 200 },
+                                                     { "priority", 1 },
+                                                     { "backend", kService },
+                                                     { "maxAttempts", 2 } } } },
+                          { "backends",
+                            QJsonArray{ QJsonObject{
+                              { "name", kService },
+                              { "maxConns", 22 },
+                              { "syncReplicas", mSyncReplicas } } } },
+                          { "limits", QJsonObject{ { "txIdleMs", 3000 } } } });
 }
 
 void
@@ -357,6 +376,7 @@
     for (int n = 0; n < 3; ++n) {
       mCallers.push_back(
         std::make_unique<Caller>(it.mCallers, kDatabase, ++number, mRecord));
+      mCallers.back()->mOnWritten = mOnWritten;
     }
   }
 }
--- a/review/standins-3/Deployment.h
+++ b/review/standins-3/Deployment.h
@@ -39,6 +39,7 @@
     std::map<QByteArray, size_t> mErrors;
   };
   const Counts& GetCounts() const { return mCounts; }
+  std::function<void(int aCaller, const QByteArray& aData)> mOnWritten;
   void Stop() { mIsStopped = true; }
 
 private:
@@ -71,7 +72,8 @@
   Deployment(const QString& aProgram,
              Record& aRecord,
              int aInstances = 3,
-             int aDescriptors = 0);
+             int aDescriptors = 0,
+             int aSyncReplicas = 0);
   ~Deployment() override;
 
   /// Whether every instance answers "ready".
@@ -95,8 +97,9 @@
   void StartCallers();
   void StopCallers();
   Databases& Service() { return mDatabases; }
-  /// Writes the entries of the databases to the store. The databases named
-  /// are draining.
+  /// Writes the entries of all databases to the store.
+  void PublishDatabases();
+  /// Lets a database report that it drains.
   void SetDraining(const QString& aDatabase);
   /// Partitions an instance from the platform: the store and the duty.
   void SetPartitioned(const QString& aInstance, bool aIsPartitioned);
@@ -105,6 +108,9 @@
   void WriteSummary();
   bool HasExited() const;
 
+  /// Receives the data of each single write that was answered with success.
+  std::function<void(int aCaller, const QByteArray& aData)> mOnWritten;
+
 private:
   struct Ports
   {
@@ -114,7 +120,6 @@
     quint16 mPeers = 0;
   };
 
-  void PublishDatabases();
   void PublishConfiguration();
   void StartInstance(int aNumber);
   static quint16 FreePort();
@@ -122,6 +127,7 @@
   QString mProgram;
   Record& mRecord;
   int mDescriptors = 0;
+  int mSyncReplicas = 0;
   QTemporaryDir mDirectory;
   Store mStore;
   Databases mDatabases;
