LibDecision: Fence every replica, and count former voting lists

Cause: majorities were counted of the list of members that each instance had at the moment. The holder of the promotion lease knew four members, left one replica unfenced and relied on "every majority without a fenced replica includes the successor". An instance that had not heard of the newest member counted a majority of three: the primary and the replica that was left out. The same cause elsewhere: a failover accepted the fences of a majority of the listed replicas, and a read relied on a majority that need not meet that of a write under another list.

Change: * No replica is spared. All but a proposed successor are fenced, so that whoever counts a listed replica needs a fenced one or the successor, however short its list is. In a failover all listed replicas are fenced, and they have to meet each majority of the former lists as well. * A database votes once it has been listed for 5 s. A planned replacement begins about 1 s after the new database is listed, so the primary and the successor are a majority of the voters, and the primary serves until the promotion takes effect as before. * Where they are none, the primary steps down first, and the successor has to reach the end of its log. If it does not, the longest log is promoted, which may be that of the old primary. * Majorities for acknowledgements and reads also have to intersect those of each voting list of the last 6 s. * A write is not sent while too few replicas are unfenced to confirm it.

--- a/Libraries/LibDecision/GroupView.cpp
+++ b/Libraries/LibDecision/GroupView.cpp
@@ -12,8 +12,21 @@
 
 }
 
+size_t
+GroupView::VotingList::Majority() const
+{
+  return MajorityOf(mSize);
+}
+
+size_t
+GroupView::VotingList::Intersection() const
+{
+  const auto outside = Majority() - 1;
+  return mNames.size() > outside ? mNames.size() - outside : 0;
+}
+
 void
-GroupView::SetMembers(std::vector<GroupMember> aMembers)
+GroupView::SetMembers(std::vector<GroupMember> aMembers, Instant aNow)
 {
   for (const auto& it : aMembers) {
     const auto* known = FindMember(it.mName);
@@ -31,6 +44,75 @@
   if (!FindMember(mPrimary)) {
     ForgetPrimary();
   }
+  const auto since = mListings.empty() ? aNow - kVotingDelay : aNow;
+  for (const auto& it : mMembers) {
+    auto& listing =
+      mListings.try_emplace(it.mName, Listing{ since, aNow }).first->second;
+    listing.mLastListedAt = aNow;
+  }
+  UpdateVoters(aNow);
+}
+
+void
+GroupView::UpdateVoters(Instant aNow)
+{
+  VotingList voters;
+  for (const auto& it : mMembers) {
+    auto& listing = mListings.at(it.mName);
+    listing.mLastListedAt = aNow;
+    if (aNow - listing.mSince >= kVotingDelay) {
+      voters.mNames.insert(it.mName);
+    }
+  }
+  std::erase_if(mListings, [&](const auto& it) {
+    return aNow - it.second.mLastListedAt >= kListRetention;
+  });
+  voters.mSize = GroupSize(voters.mNames.size());
+  if (mRules.Has(RelayRule::FormerLists) && !mVoters.mNames.empty() &&
+      voters.mNames != mVoters.mNames) {
+    mVoters.mReplacedAt = aNow;
+    mFormerLists.push_back(std::move(mVoters));
+  }
+  mVoters = std::move(voters);
+  std::erase_if(mFormerLists, [&](const auto& it) {
+    return aNow - it.mReplacedAt >= kListRetention;
+  });
+}
+
+bool
+GroupView::IsVoter(const std::string& aName) const
+{
+  return mVoters.mNames.contains(aName);
+}
+
+template<typename Predicate>
+bool
+GroupView::IsMajorityOf(Predicate aPredicate) const
+{
+  const auto count = [&](const VotingList& aList) {
+    return static_cast<size_t>(std::ranges::count_if(aList.mNames, aPredicate));
+  };
+  return count(mVoters) >= mVoters.Majority() &&
+         std::ranges::all_of(mFormerLists, [&](const auto& it) {
+           return count(it) >= it.Intersection();
+         });
+}
+
+bool
+GroupView::IsMajority(const std::set<std::string>& aNames) const
+{
+  return IsMajorityOf([&](const auto& it) { return aNames.contains(it); });
+}
+
+bool
+GroupView::IntersectsMajorities(const std::set<std::string>& aNames) const
+{
+  const auto intersects = [&](const VotingList& aList) {
+    const auto n = std::ranges::count_if(
+      aList.mNames, [&](const auto& it) { return aNames.contains(it); });
+    return static_cast<size_t>(n) >= aList.Intersection();
+  };
+  return intersects(mVoters) && std::ranges::all_of(mFormerLists, intersects);
 }
 
 const GroupMember*
@@ -211,9 +293,9 @@
 }
 
 size_t
-GroupView::GroupSize() const
+GroupView::GroupSize(size_t aListed) const
 {
-  return std::max(mMembers.size(), std::min(mLargestSize, kMinGroupSize));
+  return std::max(aListed, std::min(mLargestSize, kMinGroupSize));
 }
 
 bool
@@ -234,22 +316,9 @@
 }
 
 size_t
-GroupView::NeededMembers() const
+GroupView::NeededReplicas() const
 {
-  return std::max<size_t>(MajorityOf(GroupSize()) - 1, 1);
-}
-
-size_t
-GroupView::CountFollowers(const GroupPrimary& aPrimary,
-                          Instant aSince,
-                          LogPosition aPosition) const
-{
-  return static_cast<size_t>(
-    std::ranges::count_if(mMemberStates, [&](const auto& it) {
-      const auto& status = it.second.mStatus;
-      return IsFollowing(it.first, aPrimary) &&
-             status->mRequestedAt >= aSince && status->mReceived >= aPosition;
-    }));
+  return std::max<size_t>(mVoters.Majority() - 1, 1);
 }
 
 std::optional<Instant>
@@ -265,49 +334,52 @@
            : std::nullopt;
 }
 
-std::vector<Instant>
-GroupView::OtherReports(const GroupPrimary& aPrimary) const
-{
-  std::vector<Instant> reports;
-  for (const auto& it : mMembers) {
-    const auto at = ReportedAt(it.mName, aPrimary);
-    if (at && it.mName != aPrimary.mName) {
-      reports.push_back(*at);
-    }
-  }
-  std::ranges::sort(reports, std::greater());
-  return reports;
-}
-
 std::optional<Instant>
-GroupView::ConfirmedAt(const GroupPrimary& aPrimary) const
+GroupView::ConfirmedAt(const GroupPrimary& aPrimary,
+                       std::optional<Instant> aPrimaryReport) const
 {
-  auto reports = OtherReports(aPrimary);
-  if (const auto at = ReportedAt(aPrimary.mName, aPrimary)) {
-    reports.insert(std::ranges::upper_bound(reports, *at, std::greater()), *at);
+  if (aPrimary.mTerm != mHighestTerm) {
+    return std::nullopt;
   }
-  const auto needed = NeededMembers() + 1;
-  return aPrimary.mTerm == mHighestTerm && reports.size() >= needed
-           ? std::optional(reports[needed - 1])
-           : std::nullopt;
+  const auto confirmedAt = [&](const VotingList& aList, size_t aNeeded) {
+    if (aNeeded == 0) {
+      return std::optional(Instant::max());
+    }
+    std::vector<Instant> reports;
+    for (const auto& it : aList.mNames) {
+      const auto at =
+        it == aPrimary.mName ? aPrimaryReport : ReportedAt(it, aPrimary);
+      if (at) {
+        reports.push_back(*at);
+      }
+    }
+    std::ranges::sort(reports, std::greater());
+    return reports.size() >= aNeeded ? std::optional(reports[aNeeded - 1])
+                                     : std::nullopt;
+  };
+  auto earliest = confirmedAt(mVoters, mVoters.Majority());
+  for (const auto& it : mFormerLists) {
+    const auto at = confirmedAt(it, it.Intersection());
+    earliest =
+      earliest && at ? std::optional(std::min(*earliest, *at)) : std::nullopt;
+  }
+  return earliest;
 }
 
 bool
 GroupView::IsPrimaryConfirmed(const GroupPrimary& aPrimary,
                               Instant aSince) const
 {
-  const auto confirmedAt = ConfirmedAt(aPrimary);
-  return confirmedAt && *confirmedAt >= aSince;
+  const auto at = ConfirmedAt(aPrimary, ReportedAt(aPrimary.mName, aPrimary));
+  return at && *at >= aSince;
 }
 
 bool
 GroupView::IsPrimaryConfirmedByOthers(const GroupPrimary& aPrimary,
                                       Instant aSince) const
 {
-  const auto reports = OtherReports(aPrimary);
-  const auto needed = NeededMembers();
-  return aPrimary.mTerm == mHighestTerm && reports.size() >= needed &&
-         reports[needed - 1] >= aSince;
+  const auto at = ConfirmedAt(aPrimary, Instant::max());
+  return at && *at >= aSince;
 }
 
 bool
@@ -322,17 +394,24 @@
 bool
 GroupView::IsPrimaryFollowed(const GroupPrimary& aPrimary, Instant aSince) const
 {
-  return aPrimary.mTerm == mHighestTerm &&
-         CountFollowers(aPrimary, aSince, {}) >= NeededMembers();
+  return aPrimary.mTerm == mHighestTerm && IsMajorityOf([&](const auto& it) {
+           const auto* status = StatusOf(it);
+           return it == aPrimary.mName ||
+                  (IsFollowing(it, aPrimary) &&
+                   status->mFencedTerm <= aPrimary.mTerm &&
+                   status->mRequestedAt >= aSince);
+         });
 }
 
 bool
 GroupView::IsReplicated(const GroupPrimary& aPrimary,
                         LogPosition aPosition) const
 {
-  return aPrimary.mTerm == mHighestTerm &&
-         CountFollowers(aPrimary, Instant::min(), aPosition) + 1 >=
-           MajorityOf(GroupSize());
+  return aPrimary.mTerm == mHighestTerm && IsMajorityOf([&](const auto& it) {
+           return it == aPrimary.mName ||
+                  (IsFollowing(it, aPrimary) &&
+                   StatusOf(it)->mReceived >= aPosition);
+         });
 }
 
 std::optional<LogPosition>
@@ -349,7 +428,11 @@
 GroupView::AreAllMembersFollowing(const GroupPrimary& aPrimary,
                                   Instant aSince) const
 {
-  return aPrimary.mTerm == mHighestTerm && mMembers.size() >= GroupSize() &&
+  const bool areAllListed = mMembers.size() >= GroupSize(mMembers.size()) &&
+                            std::ranges::all_of(mListings, [&](const auto& it) {
+                              return FindMember(it.first);
+                            });
+  return aPrimary.mTerm == mHighestTerm && areAllListed &&
          std::ranges::all_of(mMembers, [&](const auto& it) {
            const auto* status = StatusOf(it.mName);
            return it.mName == aPrimary.mName ||
@@ -392,7 +475,9 @@
 GroupView::RecordFrontiers()
 {
   const auto primary = Primary();
-  const auto confirmedAt = primary ? ConfirmedAt(*primary) : std::nullopt;
+  const auto confirmedAt =
+    primary ? ConfirmedAt(*primary, ReportedAt(primary->mName, *primary))
+            : std::nullopt;
   if (!confirmedAt) {
     return;
   }
--- a/Libraries/LibDecision/GroupView.h
+++ b/Libraries/LibDecision/GroupView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/ReadPolicy.h"
+#include "LibDecision/RuleSet.h"
 
 #include <map>
 #include <set>
@@ -57,12 +58,19 @@
 /// are promoted through the platform: roles, terms, log positions, and the
 /// evidence that the primary has not been replaced.
 ///
-/// Evidence is based on majorities. A write is acknowledged only when a
-/// majority of the group, including the primary, is known to hold it in the
-/// primary's term, or when every other member reported after the commit that it
-/// is a replica in that term. A replica receives nothing from a primary once
-/// another one is promoted, so everything that it received was committed
-/// before.
+/// Evidence is based on majorities of the voting members. A write is
+/// acknowledged only when a majority, including the primary, is known to hold
+/// it in the primary's term, or when every other member reported after the
+/// commit that it is a replica in that term. A replica receives nothing from a
+/// primary once another one is promoted, so everything that it received was
+/// committed before.
+///
+/// Instances learn of changes of the directory at different times, so their
+/// majorities are of different lists. Majorities of lists that differ by one
+/// member intersect. For lists that differ by more, a majority here also has to
+/// intersect every majority of each voting list of the last kListRetention:
+/// whoever still uses one of those, or already uses a later one, has a majority
+/// that intersects this one.
 ///
 /// If a majority of the group reports, in answer to requests sent at or after
 /// some instant, that it is in no later term than the primary's, no later
@@ -77,11 +85,38 @@
 class GroupView
 {
 public:
+  /// How long a member has to be listed before it votes. Longer than a planned
+  /// replacement takes to begin after the new database is listed, so that the
+  /// majorities are those of the group without it.
+  static constexpr Duration kVotingDelay = std::chrono::seconds(5);
+  /// How long a former voting list is taken into account. Longer than the
+  /// directory is out of reach of an instance that is partitioned from it.
+  static constexpr Duration kListRetention = std::chrono::seconds(6);
+
+  explicit GroupView(RelayRuleSet aRules = RelayRuleSet::All())
+    : mRules(aRules)
+  {
+  }
+
   /// Replaces the member list. The state of members that remain is kept, unless
-  /// the database restarted.
-  void SetMembers(std::vector<GroupMember> aMembers);
+  /// the database restarted. The members of the first list vote at once.
+  void SetMembers(std::vector<GroupMember> aMembers, Instant aNow);
+  /// Lets members vote that have been listed for kVotingDelay, and forgets old
+  /// voting lists. Call at least every second.
+  void UpdateVoters(Instant aNow);
   const std::vector<GroupMember>& Members() const { return mMembers; }
   const GroupMember* FindMember(const std::string& aName) const;
+  bool IsVoter(const std::string& aName) const;
+  /// Whether the voting list changed within kListRetention.
+  bool HasFormerLists() const { return !mFormerLists.empty(); }
+  /// Whether a set of databases is a majority of the voting members and
+  /// intersects every majority of each former voting list.
+  bool IsMajority(const std::set<std::string>& aNames) const;
+  /// Whether a set of databases intersects every majority of each voting list,
+  /// the present one and the former ones.
+  bool IntersectsMajorities(const std::set<std::string>& aNames) const;
+  /// The number of replicas that make a majority with the primary, at least 1.
+  size_t NeededReplicas() const;
 
   /// Handles the answer to a status request. An answer to an earlier request
   /// than the last one handled only counts as contact.
@@ -145,8 +180,9 @@
   bool HasConfirmed(const std::string& aName,
                     const GroupPrimary& aPrimary,
                     Instant aSince) const;
-  /// Whether enough replicas reported the term of aPrimary in answer to
-  /// requests sent at or after aSince to acknowledge a write.
+  /// Whether enough replicas reported, in answer to requests sent at or after
+  /// aSince, that they are in the term of aPrimary and not fenced for a later
+  /// one, so that a write can be acknowledged once they receive it.
   bool IsPrimaryFollowed(const GroupPrimary& aPrimary, Instant aSince) const;
   /// Whether a majority holds aPosition in the term of aPrimary.
   bool IsReplicated(const GroupPrimary& aPrimary, LogPosition aPosition) const;
@@ -181,32 +217,49 @@
     Instant mRequestedAt;
   };
 
+  /// Databases of which a majority is evidence.
+  struct VotingList
+  {
+    std::set<std::string> mNames;
+    /// The number of databases of which a majority is counted.
+    size_t mSize = 0;
+    /// When another list took its place; unused for the present list.
+    Instant mReplacedAt;
+
+    size_t Majority() const;
+    /// How many of the databases a set has to include so that it intersects
+    /// every majority of the list.
+    size_t Intersection() const;
+  };
+  struct Listing
+  {
+    Instant mSince;
+    Instant mLastListedAt;
+  };
+
   /// The group size from which majorities are computed. It does not fall below
   /// the largest size seen, up to kMinGroupSize, when the directory lists fewer
   /// members. Otherwise a minority could pass for a majority.
-  size_t GroupSize() const;
+  size_t GroupSize(size_t aListed) const;
   void RecordContact(MemberState& aState, Instant aNow);
-  /// The number of other members that make a majority with the primary.
-  size_t NeededMembers() const;
+  /// Whether the voting members for which aPredicate holds are a majority in
+  /// the sense of IsMajority.
+  template<typename Predicate>
+  bool IsMajorityOf(Predicate aPredicate) const;
   /// When the last report of a member was requested, if it shows that the
   /// member has joined no later term than that of aPrimary, or that aPrimary
   /// leads.
   std::optional<Instant> ReportedAt(const std::string& aName,
                                     const GroupPrimary& aPrimary) const;
-  /// When the reports of the members other than aPrimary were requested; latest
-  /// first.
-  std::vector<Instant> OtherReports(const GroupPrimary& aPrimary) const;
-  /// The latest instant since which IsPrimaryConfirmed holds.
-  std::optional<Instant> ConfirmedAt(const GroupPrimary& aPrimary) const;
+  /// The latest instant since which IsPrimaryConfirmed holds, or
+  /// IsPrimaryConfirmedByOthers if the report of the primary is given.
+  std::optional<Instant> ConfirmedAt(
+    const GroupPrimary& aPrimary,
+    std::optional<Instant> aPrimaryReport) const;
   /// Whether a member is known to have joined no later term than that of
   /// aPrimary.
   static bool IsBehind(const ReplicationStatus& aStatus,
                        const GroupPrimary& aPrimary);
-  /// Counts the replicas that reported the term of aPrimary and at least
-  /// aPosition in answer to requests sent at or after aSince.
-  size_t CountFollowers(const GroupPrimary& aPrimary,
-                        Instant aSince,
-                        LogPosition aPosition) const;
   void AddSample(LogPosition aPosition, Instant aRequestedAt);
   /// Whether a position is lower than one that mPrimary stated earlier: it
   /// started again without its log, or was rolled back.
@@ -216,8 +269,14 @@
 
   static constexpr size_t kMinGroupSize = 3;
 
+  RelayRuleSet mRules;
   std::vector<GroupMember> mMembers;
   size_t mLargestSize = 0;
+  /// The databases listed within kListRetention.
+  std::map<std::string, Listing> mListings;
+  VotingList mVoters;
+  /// The voting lists that were replaced within kListRetention, oldest first.
+  std::deque<VotingList> mFormerLists;
   std::map<std::string, MemberState> mMemberStates;
   uint64_t mHighestTerm = 0;
   std::string mPrimary;
--- a/Libraries/LibDecision/RuleSet.h
+++ b/Libraries/LibDecision/RuleSet.h
@@ -23,27 +23,49 @@
   Count,
 };
 
+/// The safety rules of groups whose databases are promoted through the
+/// platform, which the exploration test disables one at a time as well.
+enum class RelayRule : size_t
+{
+  /// Fence every replica but a proposed successor.
+  FenceEveryReplica,
+  /// Promote only a log that holds what the fenced replicas hold.
+  FencedEntriesInLog,
+  /// Count majorities of former voting lists too.
+  FormerLists,
+  /// Learn of a term from the position of a session's last write.
+  TermOfLastWrite,
+  Count,
+};
+
 /// The set of safety rules that are enabled.
-class RuleSet
+template<typename EnumeratedRule>
+class RuleSetOf
 {
 public:
-  static RuleSet All()
+  static RuleSetOf All()
   {
-    RuleSet rules;
+    RuleSetOf rules;
     rules.mRules.set();
     return rules;
   }
-  RuleSet Without(Rule aRule) const
+  RuleSetOf Without(EnumeratedRule aRule) const
   {
-    RuleSet rules = *this;
+    RuleSetOf rules = *this;
     rules.mRules.reset(static_cast<size_t>(aRule));
     return rules;
   }
-  bool Has(Rule aRule) const { return mRules.test(static_cast<size_t>(aRule)); }
-  bool operator==(const RuleSet&) const = default;
+  bool Has(EnumeratedRule aRule) const
+  {
+    return mRules.test(static_cast<size_t>(aRule));
+  }
+  bool operator==(const RuleSetOf&) const = default;
 
 private:
-  std::bitset<static_cast<size_t>(Rule::Count)> mRules;
+  std::bitset<static_cast<size_t>(EnumeratedRule::Count)> mRules;
 };
 
+using RuleSet = RuleSetOf<Rule>;
+using RelayRuleSet = RuleSetOf<RelayRule>;
+
 }
--- a/Libraries/LibDecision/TakeoverMachine.cpp
+++ b/Libraries/LibDecision/TakeoverMachine.cpp
@@ -207,6 +207,7 @@
   mFenceTerm = aView.HighestFencedTerm() + 1;
   mSuccessor.clear();
   mOldLogEnd.reset();
+  mStepDown = StepDown::NotSent;
   mExcludedMembers.clear();
   mState = State::Fencing;
   mAttemptStartedAt = aNow;
@@ -236,19 +237,22 @@
   return true;
 }
 
-/// If the primary is only leaving, as many replicas stay unfenced as possible
-/// while every majority without a fenced replica includes the successor.
 bool
 TakeoverMachine::NeedsFence(const GroupView& aView,
                             const GroupMember& aMember) const
 {
-  if (aMember.mName == mOldPrimary) {
-    return false;
-  }
-  if (!IsPlanned()) {
-    return true;
-  }
-  if (aMember.mName == mSuccessor) {
+  const auto* status = aView.StatusOf(aMember.mName);
+  const bool isReplica = !status || status->mRole == Role::Replica;
+  return isReplica && aMember.mName != mOldPrimary &&
+         !(IsPlanned() && aMember.mName == mSuccessor) &&
+         !IsSpared(aView, aMember);
+}
+
+bool
+TakeoverMachine::IsSpared(const GroupView& aView,
+                          const GroupMember& aMember) const
+{
+  if (mSettings.mRules.Has(RelayRule::FenceEveryReplica) || !IsPlanned()) {
     return false;
   }
   const auto& members = aView.Members();
@@ -258,11 +262,11 @@
       continue;
     }
     if (it.mName == aMember.mName) {
-      return spared == 0;
+      return spared > 0;
     }
     spared -= spared > 0 ? 1 : 0;
   }
-  return true;
+  return false;
 }
 
 void
@@ -296,29 +300,43 @@
          status->mFencedTerm >= mFenceTerm;
 }
 
+/// A member that does not vote yet and does not answer can't hold up a
+/// replacement.
 bool
 TakeoverMachine::HasEnoughFences(const GroupView& aView) const
 {
-  const auto& members = aView.Members();
-  const auto count = [&](auto aCondition) {
-    return static_cast<size_t>(std::ranges::count_if(members, aCondition));
-  };
-  if (IsPlanned()) {
-    return std::ranges::all_of(members, [&](const auto& it) {
-      return !NeedsFence(aView, it) || IsFenced(aView, it);
+  const bool areFenced =
+    std::ranges::all_of(aView.Members(), [&](const auto& it) {
+      const bool mayBeLeftOut =
+        !aView.IsVoter(it.mName) &&
+        (!aView.StatusOf(it.mName) || aView.IsFailing(it.mName));
+      return !NeedsFence(aView, it) || IsFenced(aView, it) || mayBeLeftOut;
     });
+  return areFenced && (IsPlanned() || AreMajoritiesStopped(aView));
+}
+
+/// Whether no majority can receive a write without a fenced replica or the
+/// successor. Replicas that the directory does not list any more can't be
+/// fenced, and may still receive.
+bool
+TakeoverMachine::AreMajoritiesStopped(const GroupView& aView) const
+{
+  std::set<std::string> stopped;
+  for (const auto& it : aView.Members()) {
+    if (IsFenced(aView, it) || (IsPlanned() && it.mName == mSuccessor)) {
+      stopped.insert(it.mName);
+    }
   }
-  const auto granted =
-    count([&](const auto& it) { return IsFenced(aView, it); });
-  const auto replicas =
-    count([&](const auto& it) { return it.mName != mOldPrimary; });
-  return replicas > 0 && granted >= MajorityOf(replicas);
+  return aView.IntersectsMajorities(stopped);
 }
 
 bool
 TakeoverMachine::HasFencedEntries(const GroupView& aView,
                                   const std::string& aName) const
 {
+  if (!mSettings.mRules.Has(RelayRule::FencedEntriesInLog)) {
+    return true;
+  }
   const auto* status = aView.StatusOf(aName);
   return status && status->mRequestedAt >= mAttemptStartedAt &&
          (!mOldLogEnd || status->mReceived >= *mOldLogEnd) &&
@@ -339,6 +357,10 @@
     mOldLogEnd =
       aView.LogEndSince({ mOldPrimary, mOldTerm }, mAttemptStartedAt);
   }
+  if (IsPlanned() && mSuccessor.empty() && mStepDown == StepDown::Sent) {
+    AbandonStepDown(aView, aNow);
+    return;
+  }
   if (IsPlanned() && mSuccessor.empty()) {
     if (ReplaceSuccessor(aView, aNow)) {
       SendFences(aView, aNow);
@@ -347,7 +369,9 @@
   }
   if (HasEnoughFences(aView)) {
     const auto successor = IsPlanned() ? mSuccessor : ChooseSuccessor(aView);
-    if (!successor.empty() && HasFencedEntries(aView, successor)) {
+    if (!successor.empty() && HasFencedEntries(aView, successor) &&
+        (!IsPlanned() || MayKeepServing(aView) ||
+         CompleteStepDown(aView, aNow))) {
       mSuccessor = successor;
       mState = State::Promoting;
       mStepStartedAt = aNow;
@@ -355,7 +379,7 @@
       return;
     }
     if (IsPlanned()) {
-      AwaitCatchUp(aNow);
+      AwaitCatchUp(aView, aNow);
       return;
     }
   }
@@ -372,10 +396,63 @@
   }
 }
 
+bool
+TakeoverMachine::IsMajorityWith(const GroupView& aView,
+                                const std::string& aSuccessor) const
+{
+  return aView.IsMajority({ mOldPrimary, aSuccessor });
+}
+
+bool
+TakeoverMachine::MayKeepServing(const GroupView& aView) const
+{
+  return !mSettings.mRules.Has(RelayRule::FenceEveryReplica) ||
+         (mStepDown == StepDown::NotSent && IsMajorityWith(aView, mSuccessor) &&
+          AreMajoritiesStopped(aView));
+}
+
+bool
+TakeoverMachine::HasSteppedDown(const GroupView& aView) const
+{
+  const auto* status = aView.StatusOf(mOldPrimary);
+  return status && status->mRole == Role::Replica &&
+         status->mRequestedAt >= mAttemptStartedAt;
+}
+
+bool
+TakeoverMachine::CompleteStepDown(const GroupView& aView, Instant aNow)
+{
+  if (HasSteppedDown(aView)) {
+    return aView.StatusOf(mSuccessor)->mReceived >=
+           aView.StatusOf(mOldPrimary)->mReceived;
+  }
+  if (mStepDown == StepDown::NotSent || aNow >= mNextRequestAt) {
+    mStepDown = StepDown::Sent;
+    mNextRequestAt = aNow + mSettings.mRequestInterval;
+    mActions.push_back(
+      SendControlCommand{ mOldPrimary, ControlCommand::StepDown, mFenceTerm });
+    LogStep("stepping down");
+  }
+  return false;
+}
+
+/// Goes on as if the primary had been silent. If it has stepped down, it is a
+/// replica like the others, and the only one that surely holds all writes.
+void
+TakeoverMachine::AbandonStepDown(const GroupView& aView, Instant aNow)
+{
+  if (HasSteppedDown(aView)) {
+    mOldPrimary.clear();
+  }
+  mStepDown = StepDown::Abandoned;
+  mStepStartedAt = aNow;
+  SendFences(aView, aNow);
+}
+
 /// Requests the status of the successor until its log reaches the end of those
-/// of the fenced replicas.
+/// of the fenced replicas, and of the old primary if that steps down.
 void
-TakeoverMachine::AwaitCatchUp(Instant aNow)
+TakeoverMachine::AwaitCatchUp(const GroupView& aView, Instant aNow)
 {
   if (!mCatchUpSince) {
     mCatchUpSince = aNow;
@@ -383,6 +460,10 @@
   }
   if (aNow - *mCatchUpSince >= mSettings.mCatchUpTimeout) {
     LogStep("behind");
+    if (mStepDown == StepDown::Sent) {
+      AbandonStepDown(aView, aNow);
+      return;
+    }
     mExcludedMembers.insert(std::exchange(mSuccessor, {}));
     return;
   }
@@ -408,7 +489,8 @@
 {
   const GroupMember* best = nullptr;
   const auto rank = [&](const GroupMember& aMember) {
-    return std::tuple(aView.StatusOf(aMember.mName)->mReceived,
+    return std::tuple(IsMajorityWith(aView, aMember.mName),
+                      aView.StatusOf(aMember.mName)->mReceived,
                       !aMember.mIsCold);
   };
   for (const auto& it : aView.Members()) {
--- a/Libraries/LibDecision/TakeoverMachine.h
+++ b/Libraries/LibDecision/TakeoverMachine.h
@@ -49,6 +49,7 @@
   Duration mBackoff = std::chrono::milliseconds(600);
   /// A fence that is older than this belongs to no attempt in progress.
   Duration mAbandonedFenceTimeout = std::chrono::milliseconds(6500);
+  RelayRuleSet mRules = RelayRuleSet::All();
 };
 
 enum class ControlCommand
@@ -111,17 +112,20 @@
 /// issues the fences, the promotion order and the commands that follow it. The
 /// owner updates the view. Tick must be called at least every mMaxTickInterval.
 ///
-/// The steps of a failover are: acquire the promotion lease; fence enough
-/// replicas to intersect every majority that acknowledged a write; choose the
-/// fenced replica with the longest log; order its promotion; remove the fences
-/// of the others. A shorter log is not promoted, even if the longest one can't
-/// be promoted now.
+/// The steps of a failover are: acquire the promotion lease; fence all
+/// replicas; choose the one with the longest log; order its promotion; remove
+/// the fences of the others. A shorter log is not promoted, even if the longest
+/// one can't be promoted now.
 ///
 /// A primary that is leaving serves until the promotion takes effect. In this
-/// case the successor is proposed first, and enough other replicas are fenced
-/// that no majority is possible without the successor. It is promoted once its
-/// log reaches the end of theirs, and what the primary reported. If it does not
-/// in time, another replica takes its place.
+/// case the successor is proposed first, and all other replicas are fenced. It
+/// is promoted once its log reaches the end of theirs, and what the primary
+/// reported. If it does not in time, another replica takes its place.
+///
+/// No replica is spared: an instance whose list of members is shorter counts a
+/// smaller majority, which may consist of the primary and that replica. Where
+/// the primary and the successor alone are no majority, the primary steps down
+/// before the order, since nothing could be acknowledged after the fences.
 ///
 /// What members reported before the attempt proves nothing about their logs: a
 /// replica may have received more since, and one that started again may have
@@ -158,26 +162,55 @@
     Fencing,
     Promoting,
   };
+  /// How far a leaving primary has been told to step down.
+  enum class StepDown
+  {
+    NotSent,
+    Sent,
+    /// The successor did not receive all in time. The attempt goes on as if the
+    /// primary were silent.
+    Abandoned,
+  };
 
   void Watch(const GroupView& aView, Instant aNow);
   void TrackPrimaryOutage(const GroupView& aView, Instant aNow);
   bool HasReplicaProgress(const GroupView& aView);
   /// The primary, or the member that the directory lists as the primary.
   std::string PresumedPrimary(const GroupView& aView) const;
-  /// Whether the old primary serves until the promotion takes effect.
-  bool IsPlanned() const { return mCause == TakeoverCause::PrimaryLeaving; }
+  /// Whether the old primary serves beside the proposed successor.
+  bool IsPlanned() const
+  {
+    return mCause == TakeoverCause::PrimaryLeaving &&
+           mStepDown != StepDown::Abandoned;
+  }
   bool IsFenced(const GroupView& aView, const GroupMember& aMember) const;
   bool HasEnoughFences(const GroupView& aView) const;
   /// Whether a member reported, since the attempt started, a log that reaches
   /// mOldLogEnd and the end of the logs of all fenced replicas.
   bool HasFencedEntries(const GroupView& aView, const std::string& aName) const;
   bool NeedsFence(const GroupView& aView, const GroupMember& aMember) const;
+  /// Whether a replica is left unfenced without FenceEveryReplica, since a
+  /// majority of all listed members without a fenced one includes the
+  /// successor.
+  bool IsSpared(const GroupView& aView, const GroupMember& aMember) const;
   std::optional<TakeoverCause> FindCause(const GroupView& aView) const;
   bool HasAbandonedFence(const GroupView& aView, Instant aNow);
   void StartTakeover(const GroupView& aView, Instant aNow);
   void SendFences(const GroupView& aView, Instant aNow);
   void AwaitFences(const GroupView& aView, Instant aNow);
-  void AwaitCatchUp(Instant aNow);
+  void AwaitCatchUp(const GroupView& aView, Instant aNow);
+  /// Whether the old primary and a successor can acknowledge writes while all
+  /// other replicas are fenced.
+  bool IsMajorityWith(const GroupView& aView,
+                      const std::string& aSuccessor) const;
+  bool AreMajoritiesStopped(const GroupView& aView) const;
+  /// Whether a leaving primary may serve until the promotion takes effect.
+  bool MayKeepServing(const GroupView& aView) const;
+  bool HasSteppedDown(const GroupView& aView) const;
+  /// Makes a leaving primary step down, and returns whether the successor holds
+  /// all that it has committed.
+  bool CompleteStepDown(const GroupView& aView, Instant aNow);
+  void AbandonStepDown(const GroupView& aView, Instant aNow);
   bool ReplaceSuccessor(const GroupView& aView, Instant aNow);
   void AwaitPromotion(const GroupView& aView,
                       const std::optional<LeaseGrant>& aGrant,
@@ -226,6 +259,7 @@
   /// The end of the log that the leaving primary first reported in the attempt.
   /// Replicas that are gone may have acknowledged what comes before.
   std::optional<LogPosition> mOldLogEnd;
+  StepDown mStepDown = StepDown::NotSent;
   std::string mSuccessor;
   /// Members that the platform refused to promote, or that did not catch up.
   std::set<std::string> mExcludedMembers;
--- a/Libraries/LibRelay/RelayGroup.cpp
+++ b/Libraries/LibRelay/RelayGroup.cpp
@@ -6,12 +6,26 @@
 
 namespace papayaline {
 
+namespace {
+
+TakeoverSettings
+TakeoverSettingsFor(const RelayEnvironment& aEnvironment)
+{
+  TakeoverSettings settings;
+  settings.mRules = aEnvironment.mRules;
+  return settings;
+}
+
+}
+
 RelayGroup::RelayGroup(const RelayEnvironment& aEnvironment,
                        RelayGroupConfiguration aConfiguration,
                        RelayGroupSettings aSettings)
   : mEnvironment(aEnvironment)
   , mConfiguration(std::move(aConfiguration))
   , mSettings(aSettings)
+  , mView(aEnvironment.mRules)
+  , mTakeover(TakeoverSettingsFor(aEnvironment))
   , mProtocol(aEnvironment.mMakeProtocol())
 {
 }
@@ -47,7 +61,7 @@
 RelayGroup::SetMembers(const std::vector<GroupMember>& aMembers)
 {
   const auto before = mView.Members();
-  mView.SetMembers(aMembers);
+  mView.SetMembers(aMembers, mEnvironment.mNow());
   for (const auto& it : before) {
     const auto* now = mView.FindMember(it.mName);
     if (!now || now->mStartedMs != it.mStartedMs) {
@@ -223,6 +237,7 @@
 RelayGroup::Tick()
 {
   const auto now = mEnvironment.mNow();
+  mView.UpdateVoters(now);
   if (!IsActive(now)) {
     TickStandby(now);
     return;
--- a/Libraries/LibRelay/RelayGroup.h
+++ b/Libraries/LibRelay/RelayGroup.h
@@ -119,6 +119,7 @@
   /// Null where operations are not limited.
   QuotaGate* mQuota = nullptr;
   Acknowledgement mAcknowledgement = Acknowledgement::Majority;
+  RelayRuleSet mRules = RelayRuleSet::All();
   /// The promotion lease that this instance holds, if any; see TakeoverMachine.
   std::function<std::optional<LeaseGrant>()> mLeaseGrant;
   std::function<void(const std::string& aGroup)> mAcquireLease;
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -10,7 +10,8 @@
 {
   const auto written = aRequest.mSession->LastWriteIn(mConfiguration.mName);
   const auto before = mView.Primary();
-  if (!written || written->mTerm <= mView.HighestTerm()) {
+  if (!written || written->mTerm <= mView.HighestTerm() ||
+      !mEnvironment.mRules.Has(RelayRule::TermOfLastWrite)) {
     return;
   }
   mView.ObserveTerm(written->mTerm);
@@ -158,7 +159,7 @@
 RelayGroup::EvidenceOrder(const GroupPrimary& aPrimary,
                           bool aIncludesPrimary) const
 {
-  using Rank = std::tuple<bool, bool, bool, Duration>;
+  using Rank = std::tuple<bool, bool, bool, bool, Duration>;
   std::vector<std::pair<Rank, std::string>> ranked;
   for (const auto& it : mView.Members()) {
     const bool isPrimary = it.mName == aPrimary.mName;
@@ -166,7 +167,10 @@
       continue;
     }
     const auto& member = mMembers.at(it.mName);
+    const auto* status = mView.StatusOf(it.mName);
+    const bool isFenced = status && status->mFencedTerm > aPrimary.mTerm;
     ranked.push_back({ { !isPrimary && !mView.IsFollowing(it.mName, aPrimary),
+                         !mView.IsVoter(it.mName) || isFenced,
                          !member.mPool->HasFree(),
                          it.mFailureDomain != mEnvironment.mFailureDomain,
                          member.mConcurrency.AnswerTime() },
@@ -200,7 +204,7 @@
   mFollowersMissingSince = mFollowersMissingSince.value_or(aNow);
   const auto waited = OldestUnconfirmedAge(aNow);
   const auto size = mView.Members().size();
-  const auto followers = std::max<size_t>(MajorityOf(size) - 1, 1);
+  const auto followers = mView.NeededReplicas();
   // Replicas confirm a write. A read needs a majority, of which the primary may
   // be one.
   const bool needsMajority =
@@ -214,8 +218,13 @@
   // While replicas are slow to receive a write, the interval grows with the
   // time waited, and after half of mReplicationWait evidence is requested of
   // all replicas, as it is when too few are known to be in the term.
+  // Former voting lists may need more members than a majority.
+  const bool mayNeedMore =
+    mView.HasFormerLists() &&
+    aNow - *mEvidenceMissingSince >= mSettings.mEvidenceTimeout;
   const bool requestsAll = waited >= mSettings.mReplicationWait / 2 ||
-                           static_cast<size_t>(following) < followers;
+                           static_cast<size_t>(following) < followers ||
+                           mayNeedMore;
   auto remaining = requestsAll ? size : needed;
   mNextEvidenceAt = aNow + std::max(mEvidenceInterval.Interval(), waited / 2);
   // A write is confirmed by new reports of replicas only, and a report of an
--- a/Tests/LibDecision/TestGroupView.cpp
+++ b/Tests/LibDecision/TestGroupView.cpp
@@ -30,6 +30,12 @@
   CPPUNIT_TEST(WriteOfALaterTermShowsThatThePrimaryWasReplaced);
   CPPUNIT_TEST(DatabaseRestartedStatusIsDiscarded);
   CPPUNIT_TEST(AnswerOfAnyKindClearsOutstandingRequests);
+  CPPUNIT_TEST(NewMemberVotesOnceItHasBeenListedLongEnough);
+  CPPUNIT_TEST(MemberListedAgainStillVotes);
+  CPPUNIT_TEST(MembersSwappedMajorityIntersectsThoseOfTheFormerList);
+  CPPUNIT_TEST(MembersSwappedFormerListIsForgotten);
+  CPPUNIT_TEST(MemberRemovedFencesIntersectMajoritiesOfTheFormerList);
+  CPPUNIT_TEST(FencedReplicasCanNotMakeAMajority);
   CPPUNIT_TEST_SUITE_END();
 
   const Instant mStart{ 1h };
@@ -68,7 +74,7 @@
   void setUp() override
   {
     mView = GroupView();
-    mView.SetMembers(Members("abc"));
+    mView.SetMembers(Members("abc"), mStart);
     See("a", Role::Primary, 1, { 1, 10 });
     See("b", Role::Replica, 1, { 1, 10 });
     See("c", Role::Replica, 1, { 1, 9 });
@@ -92,7 +98,7 @@
   void MemberWithAnEmptyLogIsNoEvidence()
   {
     mView = GroupView();
-    mView.SetMembers(Members("abc"));
+    mView.SetMembers(Members("abc"), mStart);
     See("b", Role::Primary, 2, { 1, 10 });
     See("c", Role::Replica, 0, { 0, 0 });
     CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed({ "b", 2 }, mStart));
@@ -139,7 +145,8 @@
 
   void FourMembersNeedTwoReplicasToAcknowledge()
   {
-    mView.SetMembers(Members("abcd"));
+    mView.SetMembers(Members("abcd"), mStart);
+    mView.UpdateVoters(mStart + GroupView::kVotingDelay);
     CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 10 }));
     See("d", Role::Replica, 1, { 1, 10 });
     CPPUNIT_ASSERT(mView.IsReplicated(mPrimary, { 1, 10 }));
@@ -147,7 +154,7 @@
 
   void MissingEntryDoesNotShrinkTheMajority()
   {
-    mView.SetMembers(Members("a"));
+    mView.SetMembers(Members("a"), mStart);
     CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 10 }));
     CPPUNIT_ASSERT(!mView.AreAllMembersFollowing(mPrimary, mStart));
   }
@@ -234,7 +241,8 @@
   /// instances may know it already, or not yet.
   void FourMembersNeedThreeReportsToConfirmPrimary()
   {
-    mView.SetMembers(Members("abcd"));
+    mView.SetMembers(Members("abcd"), mStart);
+    mView.UpdateVoters(mStart + GroupView::kVotingDelay);
     See("a", Role::Primary, 1, { 1, 10 }, 10ms);
     See("c", Role::Replica, 1, { 1, 9 }, 10ms);
     CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 10ms));
@@ -269,7 +277,7 @@
   {
     auto members = Members("abc");
     members[1].mStartedMs = 5;
-    mView.SetMembers(members);
+    mView.SetMembers(members, mStart);
     CPPUNIT_ASSERT(!mView.StatusOf("b"));
     CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 10 }));
   }
@@ -282,6 +290,82 @@
     mView.ObserveContact("a", mStart + 30ms);
     CPPUNIT_ASSERT(!mView.UnansweredSince("a"));
   }
+
+  void NewMemberVotesOnceItHasBeenListedLongEnough()
+  {
+    mView.SetMembers(Members("abcd"), mStart);
+    CPPUNIT_ASSERT(!mView.IsVoter("d"));
+    CPPUNIT_ASSERT(mView.IsReplicated(mPrimary, { 1, 10 }));
+    See("d", Role::Replica, 1, { 1, 12 });
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 11 }));
+    mView.UpdateVoters(mStart + GroupView::kVotingDelay);
+    CPPUNIT_ASSERT(mView.IsVoter("d"));
+    CPPUNIT_ASSERT(mView.IsReplicated(mPrimary, { 1, 10 }));
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 11 }));
+  }
+
+  /// A store that returns from an outage lists its entries gradually.
+  void MemberListedAgainStillVotes()
+  {
+    mView.SetMembers(Members("ab"), mStart + 1s);
+    CPPUNIT_ASSERT(!mView.IsVoter("c"));
+    mView.SetMembers(Members("abc"), mStart + 3s);
+    CPPUNIT_ASSERT(mView.IsVoter("c"));
+  }
+
+  /// Replaces b by d, so that two majorities of {a, b, c} and {a, c, d} need
+  /// not intersect: {a, b} or {b, c}, and {a, d} or {c, d}.
+  void SwapMembers()
+  {
+    mView.SetMembers(Members("abcd"), mStart);
+    mView.SetMembers(Members("acd"), mStart + GroupView::kVotingDelay);
+    See("d", Role::Replica, 1, { 1, 10 }, 5000ms);
+  }
+
+  /// Guards against a read of one instance and a write of another that share no
+  /// database.
+  void MembersSwappedMajorityIntersectsThoseOfTheFormerList()
+  {
+    SwapMembers();
+    CPPUNIT_ASSERT(!mView.IsMajority({ "c", "d" }));
+    CPPUNIT_ASSERT(!mView.IsMajority({ "a", "d" }));
+    CPPUNIT_ASSERT(mView.IsMajority({ "a", "c" }));
+    CPPUNIT_ASSERT(!mView.IsReplicated(mPrimary, { 1, 10 }));
+    See("a", Role::Primary, 1, { 1, 10 }, 5000ms);
+    CPPUNIT_ASSERT(!mView.IsPrimaryConfirmed(mPrimary, mStart + 5s));
+    See("c", Role::Replica, 1, { 1, 10 }, 5001ms);
+    CPPUNIT_ASSERT(mView.IsReplicated(mPrimary, { 1, 10 }));
+    CPPUNIT_ASSERT(mView.IsPrimaryConfirmed(mPrimary, mStart + 5s));
+  }
+
+  void MembersSwappedFormerListIsForgotten()
+  {
+    SwapMembers();
+    CPPUNIT_ASSERT(mView.HasFormerLists());
+    mView.UpdateVoters(mStart + GroupView::kVotingDelay +
+                       GroupView::kListRetention);
+    CPPUNIT_ASSERT(!mView.HasFormerLists());
+    CPPUNIT_ASSERT(mView.IsMajority({ "a", "d" }));
+  }
+
+  void MemberRemovedFencesIntersectMajoritiesOfTheFormerList()
+  {
+    CPPUNIT_ASSERT(mView.IntersectsMajorities({ "b", "c" }));
+    CPPUNIT_ASSERT(!mView.IntersectsMajorities({ "b" }));
+    mView.SetMembers(Members("ab"), mStart + 1s);
+    CPPUNIT_ASSERT(!mView.IntersectsMajorities({ "b" }));
+    mView.UpdateVoters(mStart + 1s + GroupView::kListRetention);
+    CPPUNIT_ASSERT(mView.IntersectsMajorities({ "b" }));
+  }
+
+  void FencedReplicasCanNotMakeAMajority()
+  {
+    CPPUNIT_ASSERT(mView.IsPrimaryFollowed(mPrimary, mStart));
+    See("b", Role::Replica, 1, { 1, 10 }, 5ms, 2);
+    CPPUNIT_ASSERT(mView.IsPrimaryFollowed(mPrimary, mStart));
+    See("c", Role::Replica, 1, { 1, 10 }, 5ms, 2);
+    CPPUNIT_ASSERT(!mView.IsPrimaryFollowed(mPrimary, mStart));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestGroupView);
--- a/Tests/LibDecision/TestRelayRouting.cpp
+++ b/Tests/LibDecision/TestRelayRouting.cpp
@@ -60,7 +60,7 @@
   void setUp() override
   {
     mView = GroupView();
-    mView.SetMembers({ { "p", "a" }, { "r", "b" }, { "s", "c" } });
+    mView.SetMembers({ { "p", "a" }, { "r", "b" }, { "s", "c" } }, Instant{});
     mView.ObserveStatus(Status("p", Role::Primary), kNow);
     mView.ObserveStatus(Status("r", Role::Replica), kNow);
     mView.ObserveStatus(Status("s", Role::Replica), kNow);
--- a/Tests/LibRelay/TestTakeover.cpp
+++ b/Tests/LibRelay/TestTakeover.cpp
@@ -1,6 +1,9 @@
 #include "FakeUpstreams.h"
 
+#include "platform/LineCallerProtocol.h"
+
 #include <algorithm>
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace papayaline;
@@ -35,11 +38,67 @@
   CPPUNIT_TEST(ReplicaAheadRefusedNoOtherMemberIsPromoted);
   CPPUNIT_TEST(FenceLiftedBeforeTheOrderIsRepeatedIsRenewed);
   CPPUNIT_TEST(FenceOfVanishedHolderIsReleased);
+  CPPUNIT_TEST(PrimaryLeavingWriteOfAnInstanceWithAShortListIsNotLost);
+  CPPUNIT_TEST(PrimaryDeadWriteOfAnInstanceWithAShortListIsNotLost);
+  CPPUNIT_TEST(PrimaryDeadMemberNoLongerListedNothingIsOrderedAtOnce);
+  CPPUNIT_TEST(PrimaryDeadNewMemberThatDoesNotAnswerIsNotWaitedFor);
+  CPPUNIT_TEST(PrimaryLeavingNewMemberIsNotPromoted);
+  CPPUNIT_TEST(PrimaryLeavingAmongFourVotersStepsDownBeforeTheOrder);
+  CPPUNIT_TEST(PrimaryThatSteppedDownWithTheOnlyFullLogLeadsAgain);
+  CPPUNIT_TEST(WriteWhileAllReplicasAreFencedIsNotSent);
   CPPUNIT_TEST(WriteDuringFailoverIsServedByTheNewPrimary);
   CPPUNIT_TEST_SUITE_END();
 
+  /// After this time a new member votes, and the former list is forgotten.
+  static constexpr Milliseconds kSettlingTime =
+    std::chrono::ceil<Milliseconds>(GroupView::kVotingDelay +
+                                    GroupView::kListRetention) +
+    1s;
+
   std::unique_ptr<FakeUpstreams> mFake;
 
+  /// Another instance that uses the same databases, knows the present
+  /// directory, and never gets the promotion lease.
+  std::unique_ptr<RelayRouter> MakeOtherInstance()
+  {
+    auto environment = mFake->MakeEnvironment();
+    environment.mLeaseGrant = [] { return std::optional<LeaseGrant>(); };
+    environment.mAcquireLease = [](const std::string&) {};
+    auto router = std::make_unique<RelayRouter>(std::move(environment));
+    router->ApplyConfigurationIfNewer(mFake->Configuration());
+    router->SetDirectory(mFake->Entries());
+    router->FindGroup("g")->SetPlacement({ true, 2 });
+    mFake->mOnStep = [&other = *router, n = 0]() mutable {
+      if (++n % 20 == 0) {
+        other.Tick();
+      }
+    };
+    mFake->Run(200ms);
+    return router;
+  }
+
+  /// Writes at another instance, and returns whether that was acknowledged
+  /// within aTime.
+  bool IsAcknowledged(RelayRouter& aRouter, Milliseconds aTime)
+  {
+    std::vector<StatementAnswer> answers;
+    const auto session = std::make_shared<RelaySession>(
+      aRouter, "db", std::string(), [&](const StatementAnswer& aAnswer) {
+        answers.push_back(aAnswer);
+      });
+    session->Handle(platform::ParseStatement("w", "WRITE 1 x").Value());
+    mFake->Run(aTime);
+    return !answers.empty() && !answers.front().mError;
+  }
+
+  void AwaitOrder()
+  {
+    for (int it = 0; it < 200 && mFake->mOrders.empty(); ++it) {
+      mFake->Run(5ms);
+    }
+    CPPUNIT_ASSERT(!mFake->mOrders.empty());
+  }
+
 public:
   void setUp() override { mFake = std::make_unique<FakeUpstreams>(); }
   void tearDown() override { mFake.reset(); }
@@ -393,6 +452,146 @@
     CPPUNIT_ASSERT(mFake->mOrders.empty());
   }
 
+  /// Guards against a write that an instance whose list lacks the newest member
+  /// acknowledges by a replica that is not fenced, while the successor receives
+  /// nothing.
+  void PrimaryLeavingWriteOfAnInstanceWithAShortListIsNotLost()
+  {
+    const auto other = MakeOtherInstance();
+    mFake->mIsPromoting = false;
+    mFake->AddMember("0", Role::Replica);
+    mFake->Publish();
+    mFake->Run(200ms);
+    mFake->SetLeaving("a");
+    mFake->Publish();
+    AwaitOrder();
+    auto& successor = mFake->At(mFake->mOrders.front());
+    successor.mIsReplicating = false;
+    const bool isAcknowledged = IsAcknowledged(*other, 300ms);
+    const auto written = mFake->At("a").mReceived;
+    CPPUNIT_ASSERT(!isAcknowledged || successor.mReceived >= written);
+    mFake->mOnStep = nullptr;
+  }
+
+  /// Guards against a failover without the one replica by which an instance
+  /// whose list lacks the newest member acknowledged a write.
+  void PrimaryDeadWriteOfAnInstanceWithAShortListIsNotLost()
+  {
+    const auto other = MakeOtherInstance();
+    mFake->AddMember("0", Role::Replica);
+    mFake->Publish();
+    mFake->Run(kSettlingTime);
+    mFake->At("b").mIsReplicating = false;
+    mFake->At("0").mIsReplicating = false;
+    CPPUNIT_ASSERT(IsAcknowledged(*other, 300ms));
+    mFake->At("a").mIsReachable = false;
+    mFake->At("c").mIsReachable = false;
+    mFake->Run(4s);
+    CPPUNIT_ASSERT(mFake->mOrders.empty());
+    mFake->At("c").mIsReachable = true;
+    mFake->Run(3s);
+    CPPUNIT_ASSERT(!mFake->mOrders.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), mFake->mOrders.front());
+    mFake->mOnStep = nullptr;
+  }
+
+  /// Other instances may still acknowledge by the member that is missing here.
+  void PrimaryDeadMemberNoLongerListedNothingIsOrderedAtOnce()
+  {
+    mFake->RemoveMember("c");
+    mFake->Publish();
+    mFake->At("a").mIsReachable = false;
+    mFake->Run(3s);
+    CPPUNIT_ASSERT(mFake->mOrders.empty());
+    mFake->Run(kSettlingTime);
+    CPPUNIT_ASSERT(!mFake->mOrders.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), mFake->mOrders.front());
+  }
+
+  void PrimaryDeadNewMemberThatDoesNotAnswerIsNotWaitedFor()
+  {
+    mFake->AddMember("0", Role::Replica);
+    mFake->At("0").mIsReachable = false;
+    mFake->Publish();
+    mFake->At("a").mIsReachable = false;
+    mFake->Run(3s);
+    CPPUNIT_ASSERT(!mFake->mOrders.empty());
+  }
+
+  /// With a member that votes as the successor, the primary keeps serving.
+  void PrimaryLeavingNewMemberIsNotPromoted()
+  {
+    mFake->mIsPromoting = false;
+    mFake->AddMember("0", Role::Replica);
+    mFake->At("0").mReceived = { 1, 11 };
+    mFake->SetLeaving("a");
+    mFake->Publish();
+    AwaitOrder();
+    CPPUNIT_ASSERT(mFake->mOrders.front() != "0");
+    CPPUNIT_ASSERT(mFake->At("a").mRole == Role::Primary);
+    auto caller = mFake->Connect();
+    caller->Send("WRITE 1 x");
+    mFake->Run(100ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
+  void PrimaryLeavingAmongFourVotersStepsDownBeforeTheOrder()
+  {
+    mFake->mIsPromoting = false;
+    mFake->AddMember("0", Role::Replica);
+    mFake->Publish();
+    mFake->Run(kSettlingTime);
+    mFake->SetLeaving("a");
+    mFake->Publish();
+    AwaitOrder();
+    CPPUNIT_ASSERT(mFake->At("a").mRole == Role::Replica);
+    CPPUNIT_ASSERT(mFake->At(mFake->mOrders.front()).mReceived >=
+                   mFake->At("a").mReceived);
+  }
+
+  /// Guards against a group without a primary when no successor received the
+  /// last writes before the primary stepped down.
+  void PrimaryThatSteppedDownWithTheOnlyFullLogLeadsAgain()
+  {
+    mFake->AddMember("0", Role::Replica);
+    mFake->Publish();
+    mFake->Run(kSettlingTime);
+    mFake->mOnStep = [this] {
+      auto& primary = mFake->At("a");
+      const bool isFencing =
+        std::ranges::any_of(std::array{ "b", "c", "0" }, [&](const auto* it) {
+          return mFake->At(it).mFencedTerm != 0;
+        });
+      if (isFencing && primary.mRole == Role::Primary) {
+        primary.mIsReplicating = false;
+        ++primary.mReceived.mOffset;
+      }
+    };
+    mFake->SetLeaving("a");
+    mFake->Publish();
+    AwaitOrder();
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), mFake->mOrders.front());
+    mFake->mOnStep = nullptr;
+  }
+
+  /// Guards against writes with an unknown outcome that no replica can confirm.
+  void WriteWhileAllReplicasAreFencedIsNotSent()
+  {
+    mFake->mIsLeaseFree = false;
+    mFake->At("b").mFencedTerm = 2;
+    mFake->At("c").mFencedTerm = 2;
+    mFake->Run(1600ms);
+    auto caller = mFake->Connect();
+    caller->Send("WRITE 1 x");
+    mFake->Run(200ms);
+    CPPUNIT_ASSERT(mFake->At("a").mRan.empty());
+    mFake->At("b").mFencedTerm = 0;
+    mFake->Run(300ms);
+    CPPUNIT_ASSERT(caller->IsAnswered());
+    CPPUNIT_ASSERT(!caller->LastError());
+  }
+
   void WriteDuringFailoverIsServedByTheNewPrimary()
   {
     mFake->At("a").mIsReachable = false;
