Tests/LibRelay: Explore instances whose lists of members differ

RelayWorld plays databases that join, leave and fail; a directory that is late, out of reach of an instance, or lacks an entry; replicas that receive nothing, half of the time the one whose promotion was ordered; a primary that ships nothing once it has stepped down; and messages that arrive late. It reports a write that is acknowledged after a promotion without it.

--- a/Tests/LibRelay/RelayWorld.cpp
+++ b/Tests/LibRelay/RelayWorld.cpp
@@ -32,6 +32,15 @@
 constexpr auto kReplacementInterval = 4000ms;
 /// Replicas lag by this while primaries are replaced.
 constexpr auto kReplacementLag = 150ms;
+constexpr int kMaxMemberChangeIntervalMs = 3500;
+constexpr int kMaxListDelayMs = 800;
+/// The longest partition from the directory that voting lists allow for.
+constexpr int kMaxDirectoryCutMs = 5500;
+constexpr int kMaxLeavingMs = 7000;
+constexpr int kMaxDeafMs = 3000;
+constexpr int kMaxLateMessageMs = 400;
+constexpr double kLateMessageRate = 0.002;
+constexpr size_t kMaxDatabases = 6;
 
 }
 
@@ -82,11 +91,17 @@
     auto& world = mWorld;
     const auto instance = mInstance;
     const auto name = mDatabase;
+    const bool isLate = world.ListsDiffer() && world.Chance(kLateMessageRate);
+    // A connection keeps the order of its messages.
+    mArrivesAt = std::max(
+      mArrivesAt,
+      world.mNow + kOneWayDelay +
+        Milliseconds(isLate ? world.RandomBelow(kMaxLateMessageMs) : 0));
     const auto isUnreachable = [&world, instance, name] {
       return world.mInstances[instance].mPartitionedFrom.contains(name) ||
              !world.Find(name).mIsAlive;
     };
-    world.Schedule(world.mNow + kOneWayDelay, [=, &world] {
+    world.Schedule(mArrivesAt, [=, &world] {
       const auto shared = weak.lock();
       if (!shared || shared->mIsBroken || isUnreachable()) {
         if (shared) {
@@ -113,6 +128,7 @@
   std::string mDatabase;
   std::string mAccount;
   std::shared_ptr<Shared> mShared;
+  Instant mArrivesAt;
 };
 
 /// Runs each statement at an instance that is drawn, and the statements of a
@@ -196,11 +212,13 @@
                        Freshness aFreshness,
                        Acknowledgement aAcknowledgement,
                        Disruption aDisruption,
-                       Spread aSpread)
+                       Spread aSpread,
+                       RelayRuleSet aRules)
   : mRandom(aSeed)
   , mFreshness(aFreshness)
   , mAcknowledgement(aAcknowledgement)
   , mDisruption(aDisruption)
+  , mRules(aRules)
   , mLeaseObject(StoredLease{ { "", "", 0, true, 1 }, { 1, 1 } })
   , mStoreRandom(aSeed)
   , mKeyRandom(aSeed)
@@ -237,7 +255,9 @@
     }
     mInstances[it].mRouter->ApplyConfigurationIfNewer(mConfiguration);
   }
-  PublishDirectory({});
+  for (size_t it = 0; it < kInstances; ++it) {
+    DeliverDirectory(it);
+  }
   for (const auto& it : mInstances) {
     it.mRouter->FindGroup("g")->SetPlacement({ true, kInstances });
   }
@@ -276,19 +296,166 @@
 }
 
 void
-RelayWorld::PublishDirectory(const std::string& aLeaving)
+RelayWorld::SetLeaving(const std::string& aLeaving)
+{
+  for (auto& it : mDatabases) {
+    it.mIsLeaving = it.mName == aLeaving;
+  }
+  PublishDirectory();
+}
+
+std::vector<DirectoryEntry>
+RelayWorld::DirectoryEntries() const
 {
   std::vector<DirectoryEntry> entries;
   for (const auto& it : mDatabases) {
+    if (it.mIsGone || it.mName == mUnreadable) {
+      continue;
+    }
     DirectoryEntry entry;
     entry.mGroup = "g";
     entry.mMember.mName = it.mName;
     entry.mMember.mListedRole = it.mRole;
-    entry.mMember.mIsLeaving = it.mName == aLeaving;
+    entry.mMember.mIsLeaving = it.mIsLeaving;
     entries.push_back(entry);
   }
-  for (const auto& it : mInstances) {
-    it.mRouter->SetDirectory(entries);
+  return entries;
+}
+
+void
+RelayWorld::PublishDirectory()
+{
+  for (size_t it = 0; it < mInstances.size(); ++it) {
+    if (ListsDiffer()) {
+      Schedule(mNow + Milliseconds(RandomBelow(kMaxListDelayMs)),
+               [this, it] { DeliverDirectory(it); });
+    } else {
+      DeliverDirectory(it);
+    }
+  }
+}
+
+void
+RelayWorld::DeliverDirectory(size_t aInstance)
+{
+  auto& instance = mInstances[aInstance];
+  if (mNow < instance.mCutFromDirectoryUntil) {
+    return;
+  }
+  std::vector<std::string> names;
+  for (const auto& it : DirectoryEntries()) {
+    names.push_back(it.mMember.mName);
+    instance.mDirectory.Set(it);
+  }
+  instance.mDirectory.Retain(names, mNow);
+  instance.mRouter->SetDirectory(instance.mDirectory.Entries(mNow));
+}
+
+void
+RelayWorld::CutFromDirectory(size_t aInstance, Milliseconds aTime)
+{
+  mInstances[aInstance].mCutFromDirectoryUntil = mNow + aTime;
+  Schedule(mNow + aTime, [this, aInstance] { DeliverDirectory(aInstance); });
+}
+
+std::vector<std::string>
+RelayWorld::PresentDatabases() const
+{
+  std::vector<std::string> names;
+  for (const auto& it : mDatabases) {
+    if (!it.mIsGone) {
+      names.push_back(it.mName);
+    }
+  }
+  return names;
+}
+
+/// The new database holds the log of the leader.
+void
+RelayWorld::AddDatabase()
+{
+  auto database = Find(mLeader);
+  // Some names come before those of the first databases, some after.
+  database.mName =
+    (Chance(0.5) ? "0" : "x") + std::to_string(++mAddedDatabases);
+  database.mRole = Role::Replica;
+  database.mFencedTerm = 0;
+  database.mApplied = database.mLog.size();
+  database.mToApply.clear();
+  database.mIsLeaving = false;
+  database.mDeafUntil = {};
+  mDatabases.push_back(std::move(database));
+  PublishDirectory();
+}
+
+void
+RelayWorld::Leave(const std::string& aName)
+{
+  if (Find(aName).mIsLeaving) {
+    return;
+  }
+  Find(aName).mIsLeaving = true;
+  PublishDirectory();
+  Schedule(mNow + Milliseconds(kMaxLeavingMs / 2 + RandomBelow(kMaxLeavingMs)),
+           [this, aName] { EndIfReplaced(aName); });
+}
+
+void
+RelayWorld::EndIfReplaced(const std::string& aName)
+{
+  if (aName == mLeader || PresentDatabases().size() <= 3) {
+    Schedule(mNow + 500ms, [this, aName] { EndIfReplaced(aName); });
+    return;
+  }
+  auto& database = Find(aName);
+  database.mIsGone = true;
+  database.mIsAlive = false;
+  database.mBackAt = Instant::max();
+  PublishDirectory();
+}
+
+void
+RelayWorld::MakeDeaf(const std::string& aName, Milliseconds aAfter)
+{
+  const auto time = Milliseconds(RandomBelow(kMaxDeafMs));
+  Schedule(mNow + aAfter,
+           [this, aName, time] { Find(aName).mDeafUntil = mNow + time; });
+}
+
+void
+RelayWorld::ChangeMembers()
+{
+  const auto present = PresentDatabases();
+  const auto draw = [&] {
+    return present[static_cast<size_t>(
+      RandomBelow(static_cast<int>(present.size())))];
+  };
+  if (Chance(0.7)) {
+    CutFromDirectory(static_cast<size_t>(RandomBelow(kInstances)),
+                     Milliseconds(RandomBelow(kMaxDirectoryCutMs)));
+  }
+  if (Chance(0.5)) {
+    MakeDeaf(draw(), Milliseconds(RandomBelow(kMaxMemberChangeIntervalMs)));
+  }
+  if (Chance(0.2)) {
+    mUnreadable = draw();
+    Schedule(mNow + Milliseconds(RandomBelow(kMaxDirectoryCutMs)), [this] {
+      mUnreadable.clear();
+      PublishDirectory();
+    });
+    PublishDirectory();
+  }
+  if (present.size() < 4 || (present.size() < kMaxDatabases && Chance(0.5))) {
+    AddDatabase();
+    if (Chance(0.2)) {
+      AddDatabase();
+    }
+  }
+  if (present.size() >= 3 && Chance(0.7)) {
+    const auto leaving = Chance(0.6) ? mLeader : draw();
+    Schedule(mNow + 300ms +
+               Milliseconds(RandomBelow(kMaxMemberChangeIntervalMs)),
+             [this, leaving] { Leave(leaving); });
   }
 }
 
@@ -300,6 +467,7 @@
   environment.mMakeProtocol = platform::LineUpstreamProtocol::Create;
   environment.mFailureDomain = "d";
   environment.mAcknowledgement = mAcknowledgement;
+  environment.mRules = mRules;
   if (mDisruption == Disruption::KeysTakenAway) {
     environment.mAuthorityTimeout = kAuthorityTimeout;
   }
@@ -334,6 +502,9 @@
     mLastHolder = aInstance;
     Schedule(mNow + Milliseconds(200 + RandomBelow(400)),
              [this, aName] { Promote(aName); });
+    if (ListsDiffer() && Chance(0.5)) {
+      MakeDeaf(aName, Milliseconds(RandomBelow(200)));
+    }
   };
   environment.mOpenChannel = [this, aInstance](const ChannelTarget& aTarget,
                                                ChannelEvents aEvents) {
@@ -547,7 +718,8 @@
 RelayWorld::Promote(const std::string& aName)
 {
   auto& database = Find(aName);
-  if (!database.mIsAlive || mLeader == aName) {
+  const bool isLeading = mLeader == aName && database.mRole == Role::Primary;
+  if (!database.mIsAlive || isLeading) {
     return;
   }
   ++mPromotions;
@@ -571,7 +743,7 @@
     mRolledBack.insert(it);
     if (mAcknowledgement == Acknowledgement::Majority &&
         mAcknowledged.contains(it)) {
-      ReportViolation("an acknowledged write was lost at a promotion: " + it);
+      ReportViolation("LOST: " + it + " at the promotion of " + aName);
     }
   }
 }
@@ -597,8 +769,10 @@
     }
     const bool isPartitioned =
       mPartitions.contains(std::minmax(it.mName, source.mName));
-    if (it.mName == mLeader || !source.mIsAlive || isPartitioned ||
-        it.mFencedTerm != 0) {
+    const bool isDeaf = mNow < it.mDeafUntil;
+    const bool hasSteppedDown = ListsDiffer() && source.mRole != Role::Primary;
+    if (it.mName == mLeader || !source.mIsAlive || isPartitioned || isDeaf ||
+        hasSteppedDown || it.mFencedTerm != 0) {
       continue;
     }
     const bool followsLeader =
@@ -669,7 +843,9 @@
                     DatabaseSession& aSession,
                     const std::string& aAccount)
 {
-  auto& [state, isReadOnly, staged] = aSession;
+  auto& state = aSession.mState;
+  auto& isReadOnly = aSession.mIsReadOnly;
+  auto& staged = aSession.mStaged;
   StatementAnswer answer;
   answer.mSignature = "s";
   const auto applied = EndOf(aDatabase, aDatabase.mApplied);
@@ -755,6 +931,9 @@
     std::bernoulli_distribution(0.5)(mPositionRandom);
   if (isPositionStated) {
     answer.mPosition = EndOf(aDatabase, aDatabase.mApplied);
+    aSession.mLastPosition = answer.mPosition;
+  } else if (mMissingPosition == MissingPosition::Last) {
+    answer.mPosition = aSession.mLastPosition;
   }
   return answer;
 }
@@ -822,6 +1001,10 @@
   if (isWrite) {
     if (mCommittedAtReplaced.contains(caller.mPendingWrite)) {
       ReportViolation("ONE: " + caller.mPendingWrite);
+    } else if (mAcknowledgement == Acknowledgement::Majority &&
+               mRolledBack.contains(caller.mPendingWrite)) {
+      ReportViolation("LOST: acknowledged after a promotion without it: " +
+                      caller.mPendingWrite);
     }
     mAcknowledged[caller.mPendingWrite] = mNow;
     caller.mOwnWrites.push_back(caller.mPendingWrite);
@@ -867,9 +1050,8 @@
     Schedule(mNow + kDeafTime,
              [&instance, next] { instance.mPartitionedFrom.erase(next); });
   }
-  Schedule(mNow + 100ms,
-           [this, leaving = mLeader] { PublishDirectory(leaving); });
-  Schedule(mNow + kDeafTime, [this] { PublishDirectory({}); });
+  Schedule(mNow + 100ms, [this, leaving = mLeader] { SetLeaving(leaving); });
+  Schedule(mNow + kDeafTime, [this] { SetLeaving({}); });
 }
 
 void
@@ -877,11 +1059,17 @@
 {
   const auto length = Milliseconds(200 + RandomBelow(2500));
   auto& instance = mInstances[static_cast<size_t>(RandomBelow(kInstances))];
-  auto& database = mDatabases[static_cast<size_t>(RandomBelow(3))];
+  const auto draw = [this]() -> Database& {
+    return mDatabases[static_cast<size_t>(
+      RandomBelow(static_cast<int>(mDatabases.size())))];
+  };
+  auto& database = draw();
   switch (RandomBelow(6)) {
     case 0:
-      database.mIsAlive = false;
-      database.mBackAt = mNow + length;
+      if (!database.mIsGone) {
+        database.mIsAlive = false;
+        database.mBackAt = mNow + length;
+      }
       break;
     case 1:
       instance.mPartitionedFrom.insert(database.mName);
@@ -890,7 +1078,7 @@
       });
       break;
     case 2: {
-      const auto& other = mDatabases[static_cast<size_t>(RandomBelow(3))];
+      const auto& other = draw();
       PartitionReplication(database.mName, other.mName, length);
       break;
     }
@@ -967,8 +1155,16 @@
       mNextReplacement = mNow + kReplacementInterval;
       ReplacePrimary();
     }
+    if (ListsDiffer() && mNow >= mNextReplacement) {
+      mNextReplacement =
+        mNow + Milliseconds(RandomBelow(kMaxMemberChangeIntervalMs));
+      ChangeMembers();
+    }
     for (auto& it : mInstances) {
       const bool isTick = sinceEpoch % kTick == 0ms;
+      if (isTick && it.mDirectory.HasPendingRemovals()) {
+        it.mRouter->SetDirectory(it.mDirectory.Entries(mNow));
+      }
       if (isTick && mNow >= it.mSuspendedUntil) {
         it.mRouter->Tick();
         ReleaseLease(it);
--- a/Tests/LibRelay/RelayWorld.h
+++ b/Tests/LibRelay/RelayWorld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDecision/PromotionLease.h"
+#include "LibRelay/DirectoryView.h"
 #include "LibRelay/RelayRouter.h"
 #include "LibRelay/RelaySession.h"
 
@@ -30,6 +31,19 @@
     KeysTakenAway,
     /// Databases state a position in every other answer, drawn at random.
     AnswersWithoutPosition,
+    /// Databases join, leave and fail, and their instances learn of it at
+    /// different times: the directory is late, out of reach, or lacks an entry.
+    /// Replicas receive nothing for a while, above all the one whose promotion
+    /// was ordered. Messages arrive late.
+    ListsThatDiffer,
+  };
+
+  /// What answers without a position are taken for.
+  enum class MissingPosition
+  {
+    Unknown,
+    /// The last position that the connection stated, as in a fault of the past.
+    Last,
   };
 
   /// Where the statements of a session run.
@@ -45,9 +59,15 @@
              Freshness aFreshness,
              Acknowledgement aAcknowledgement,
              Disruption aDisruption = Disruption::None,
-             Spread aSpread = Spread::OwnInstance);
+             Spread aSpread = Spread::OwnInstance,
+             RelayRuleSet aRules = RelayRuleSet::All());
   ~RelayWorld();
 
+  void SetMissingPosition(MissingPosition aMissing)
+  {
+    mMissingPosition = aMissing;
+  }
+
   void Run(Milliseconds aTime);
 
   const std::vector<std::string>& Violations() const { return mViolations; }
@@ -77,6 +97,10 @@
     /// Delay between receiving and applying an entry.
     Milliseconds mLag{ 5 };
     std::deque<std::pair<Instant, size_t>> mToApply;
+    bool mIsLeaving = false;
+    /// Has left: it ended for good, and the directory does not list it.
+    bool mIsGone = false;
+    Instant mDeafUntil;
   };
   /// A connection as its database sees it.
   struct DatabaseSession
@@ -84,6 +108,7 @@
     TransactionState mState = TransactionState::None;
     bool mIsReadOnly = false;
     std::vector<std::string> mStaged;
+    std::optional<LogPosition> mLastPosition;
   };
   struct Instance
   {
@@ -96,6 +121,8 @@
     Instant mReadsOnlyUntil;
     /// Until then the store answers all instances but this one.
     Instant mCutFromStoreUntil;
+    DirectoryView mDirectory;
+    Instant mCutFromDirectoryUntil;
   };
   struct Caller
   {
@@ -151,7 +178,22 @@
   void Replicate();
   void InjectFault();
   void ReplacePrimary();
-  void PublishDirectory(const std::string& aLeaving);
+  void SetLeaving(const std::string& aLeaving);
+  std::vector<DirectoryEntry> DirectoryEntries() const;
+  void PublishDirectory();
+  /// Delivers the present directory to an instance that reaches it.
+  void DeliverDirectory(size_t aInstance);
+  void CutFromDirectory(size_t aInstance, Milliseconds aTime);
+  void ChangeMembers();
+  void AddDatabase();
+  void Leave(const std::string& aName);
+  void EndIfReplaced(const std::string& aName);
+  void MakeDeaf(const std::string& aName, Milliseconds aAfter);
+  std::vector<std::string> PresentDatabases() const;
+  bool ListsDiffer() const
+  {
+    return mDisruption == Disruption::ListsThatDiffer;
+  }
   void PartitionReplication(const std::string& aFirst,
                             const std::string& aSecond,
                             Milliseconds aTime);
@@ -175,6 +217,8 @@
   Freshness mFreshness;
   Acknowledgement mAcknowledgement;
   Disruption mDisruption;
+  RelayRuleSet mRules;
+  MissingPosition mMissingPosition = MissingPosition::Unknown;
   Instant mNow = Instant(std::chrono::hours(1));
   uint64_t mOrder = 0;
   std::vector<Event> mEvents;
@@ -206,6 +250,9 @@
   bool mIsStoreUp = true;
   Instant mNextFault;
   Instant mNextReplacement;
+  /// The database whose entry in the directory is unreadable; may be empty.
+  std::string mUnreadable;
+  size_t mAddedDatabases = 0;
   std::map<std::string, Instant> mAcknowledged;
   std::set<std::string> mCommitted;
   std::set<std::string> mRolledBack;
--- a/Tests/LibRelay/TestReplacements.cpp
+++ b/Tests/LibRelay/TestReplacements.cpp
@@ -1,38 +1,160 @@
 #include "RelayWorld.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <iostream>
 
 using namespace papayaline;
 using namespace std::chrono_literals;
 
-/// Primaries that leave and are replaced while a replica receives nothing, with
-/// writes that are acknowledged by majorities.
+/// Groups whose primaries are replaced while replicas receive nothing, and
+/// whose instances know different lists of members. Each rule is also switched
+/// off, which has to break what it guards.
 class TestReplacements : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(TestReplacements);
   CPPUNIT_TEST(PrimariesReplacedBesideDeafReplicasNoAcknowledgedWriteIsLost);
+  CPPUNIT_TEST(ListsThatDifferNoAcknowledgedWriteIsLostAndNoReadIsStale);
+  CPPUNIT_TEST(OwnReadsUnderListsThatDifferIncludeTheSessionsWrites);
+  CPPUNIT_TEST(ReplicaSparedByTheFencesALossIsFound);
+  CPPUNIT_TEST(FencedEntriesNotAwaitedALossIsFound);
+  CPPUNIT_TEST(FormerListsForgottenAViolationIsFound);
+  CPPUNIT_TEST(TermOfLastWriteIgnoredAStaleReadIsFound);
+  CPPUNIT_TEST(LastPositionTakenForAMissingOneAStaleReadIsFound);
   CPPUNIT_TEST_SUITE_END();
 
+  using Disruption = RelayWorld::Disruption;
+  using Spread = RelayWorld::Spread;
+  using MissingPosition = RelayWorld::MissingPosition;
+
+  struct Scenario
+  {
+    Disruption mDisruption = Disruption::ListsThatDiffer;
+    Freshness mFreshness = Freshness::Latest;
+    Spread mSpread = Spread::OwnInstance;
+    RelayRuleSet mRules = RelayRuleSet::All();
+    MissingPosition mMissingPosition = MissingPosition::Unknown;
+    Milliseconds mTime = 30s;
+  };
+
   static constexpr unsigned kSeeds = 40;
+  /// The maximum number of seeds until a rule that is off has to be missed.
+  static constexpr unsigned kMaxSeedsToFind = 400;
 
-public:
-  /// Guards against the promotion of a replica that lacks acknowledged writes.
-  void PrimariesReplacedBesideDeafReplicasNoAcknowledgedWriteIsLost()
+  static std::unique_ptr<RelayWorld> Play(const Scenario& aScenario,
+                                          unsigned aSeed)
+  {
+    auto world = std::make_unique<RelayWorld>(aSeed,
+                                              aScenario.mFreshness,
+                                              Acknowledgement::Majority,
+                                              aScenario.mDisruption,
+                                              aScenario.mSpread,
+                                              aScenario.mRules);
+    world->SetMissingPosition(aScenario.mMissingPosition);
+    world->Run(aScenario.mTime);
+    return world;
+  }
+
+  static void Hold(const Scenario& aScenario)
   {
     size_t promotions = 0;
+    size_t acknowledged = 0;
+    size_t reads = 0;
     for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-      RelayWorld world(seed,
-                       Freshness::Latest,
-                       Acknowledgement::Majority,
-                       RelayWorld::Disruption::ReplacementsBesideDeafReplicas);
-      world.Run(15s);
-      promotions += world.Promotions();
-      if (!world.Violations().empty()) {
+      const auto world = Play(aScenario, seed);
+      promotions += world->Promotions();
+      acknowledged += world->Acknowledged();
+      reads += world->Reads();
+      if (!world->Violations().empty()) {
         CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " +
-                     world.Violations().front());
+                     world->Violations().front());
       }
     }
+    std::cout << " " << acknowledged << " writes, " << reads << " reads, "
+              << promotions << " promotions ";
     CPPUNIT_ASSERT(promotions > kSeeds);
+    CPPUNIT_ASSERT(acknowledged > kSeeds * 100);
+  }
+
+  static void Find(const Scenario& aScenario, const std::string& aViolation)
+  {
+    for (unsigned seed = 1; seed <= kMaxSeedsToFind; ++seed) {
+      const auto world = Play(aScenario, seed);
+      for (const auto& it : world->Violations()) {
+        if (it.starts_with(aViolation)) {
+          std::cout << " seed " << seed << ": " << it << " ";
+          return;
+        }
+      }
+    }
+    CPPUNIT_FAIL("nothing found in " + std::to_string(kMaxSeedsToFind) +
+                 " seeds");
+  }
+
+public:
+  /// Guards against the promotion of a replica that lacks acknowledged writes.
+  void PrimariesReplacedBesideDeafReplicasNoAcknowledgedWriteIsLost()
+  {
+    Scenario scenario;
+    scenario.mDisruption = Disruption::ReplacementsBesideDeafReplicas;
+    scenario.mTime = 15s;
+    Hold(scenario);
+  }
+
+  /// Guards against majorities of different lists that do not intersect.
+  void ListsThatDifferNoAcknowledgedWriteIsLostAndNoReadIsStale()
+  {
+    for (const auto it : { Freshness::Latest, Freshness::BoundedStaleness }) {
+      Scenario scenario;
+      scenario.mFreshness = it;
+      Hold(scenario);
+    }
+  }
+
+  void OwnReadsUnderListsThatDifferIncludeTheSessionsWrites()
+  {
+    Scenario scenario;
+    scenario.mFreshness = Freshness::ReadYourWrites;
+    scenario.mSpread = Spread::AnyInstance;
+    Hold(scenario);
+  }
+
+  void ReplicaSparedByTheFencesALossIsFound()
+  {
+    Scenario scenario;
+    scenario.mRules = scenario.mRules.Without(RelayRule::FenceEveryReplica);
+    Find(scenario, "LOST");
+  }
+
+  void FencedEntriesNotAwaitedALossIsFound()
+  {
+    Scenario scenario;
+    scenario.mRules = scenario.mRules.Without(RelayRule::FencedEntriesInLog);
+    Find(scenario, "LOST");
+  }
+
+  void FormerListsForgottenAViolationIsFound()
+  {
+    Scenario scenario;
+    scenario.mRules = scenario.mRules.Without(RelayRule::FormerLists);
+    Find(scenario, "");
+  }
+
+  void TermOfLastWriteIgnoredAStaleReadIsFound()
+  {
+    Scenario scenario;
+    scenario.mFreshness = Freshness::ReadYourWrites;
+    scenario.mSpread = Spread::AnyInstance;
+    scenario.mRules = scenario.mRules.Without(RelayRule::TermOfLastWrite);
+    Find(scenario, "STALE");
+  }
+
+  void LastPositionTakenForAMissingOneAStaleReadIsFound()
+  {
+    Scenario scenario;
+    scenario.mDisruption = Disruption::AnswersWithoutPosition;
+    scenario.mFreshness = Freshness::BoundedStaleness;
+    scenario.mMissingPosition = MissingPosition::Last;
+    Find(scenario, "STALE");
   }
 };
 
