Papayalined: Keep descriptors free of callers

What callers saw: when a machine was lost, its callers came to the instances that remained until these had no descriptor left.

Cause: nothing bounded the connections that were accepted. The client of the store drops its connection after a call without an answer, for which Qt ends a thread and starts another; without a pipe for it Qt ends the process.

Change: a connection is closed at once when its descriptor is one of the last 512 of the limit, or of the last quarter of a small one, so that its caller tries another instance. "caller.refused" is logged at most once a second, and the metrics count.

Evidence: DescriptorsUsedUpByCallersInstanceGoesOn of integration-relay failed on the code before (the process had ended), and passes.

--- a/Services/Papayalined/Relay/CallerConnection.cpp
+++ b/Services/Papayalined/Relay/CallerConnection.cpp
@@ -1,8 +1,12 @@
 #include "CallerConnection.h"
 
+#include "LibCore/StructuredLog.h"
 #include "LibDecision/Overloaded.h"
 
 #include <QHostAddress>
+#include <algorithm>
+#include <limits>
+#include <sys/resource.h>
 
 namespace papayaline {
 
@@ -18,6 +22,25 @@
 /// several round trips to a caller: many callers send the next statement at
 /// once, and one that meets the close has an unknown outcome for them.
 constexpr Duration kMinIdleTime = std::chrono::milliseconds(50);
+/// Descriptors kept free for databases, the store, other instances and
+/// readiness checks. Qt ends the process when it gets none for a thread.
+constexpr rlim_t kReservedDescriptors = 512;
+constexpr Duration kRefusalLogInterval = std::chrono::seconds(1);
+
+/// The lowest descriptor that is not given to a caller. New descriptors are the
+/// lowest free ones, so all below are in use when it is reached. At least three
+/// quarters of a small limit are left to callers.
+qintptr
+FirstReservedDescriptor()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return std::numeric_limits<qintptr>::max();
+  }
+  const auto reserved = std::min(kReservedDescriptors, limit.rlim_cur / 4);
+  return static_cast<qintptr>(limit.rlim_cur - reserved);
+}
 
 }
 
@@ -224,11 +247,39 @@
   mServer.setListenBacklogSize(kListenBacklog);
   connect(&mServer, &QTcpServer::newConnection, this, [this] {
     while (auto* socket = mServer.nextPendingConnection()) {
-      new CallerConnection(*this, socket);
+      Accept(socket);
     }
   });
 }
 
+void
+RelayCallerListener::Accept(QTcpSocket* aSocket)
+{
+  if (aSocket->socketDescriptor() >= FirstReservedDescriptor()) {
+    Refuse(aSocket);
+  } else {
+    new CallerConnection(*this, aSocket);
+  }
+}
+
+void
+RelayCallerListener::Refuse(QTcpSocket* aSocket)
+{
+  ++mRefusedCount;
+  const auto now = mRouter.Now();
+  if (now >= mNextRefusalLogAt) {
+    mNextRefusalLogAt = now + kRefusalLogInterval;
+    StructuredLog::Instance().Write(
+      LogPriority::Decision,
+      "caller.refused",
+      { { "reason", "no descriptors left" },
+        { "connections", std::to_string(mConnections.size()) },
+        { "refused", std::to_string(mRefusedCount) } });
+  }
+  aSocket->abort();
+  aSocket->deleteLater();
+}
+
 RelayCallerListener::~RelayCallerListener()
 {
   const auto connections = mConnections;
--- a/Services/Papayalined/Relay/CallerConnection.h
+++ b/Services/Papayalined/Relay/CallerConnection.h
@@ -73,14 +73,22 @@
   void RollBackTransactions();
   void Tick(Instant aNow);
   size_t ConnectionCount() const { return mConnections.size(); }
+  /// The number of connections that were refused for lack of descriptors.
+  uint64_t RefusedCount() const { return mRefusedCount; }
 
 private:
   friend class CallerConnection;
 
+  void Accept(QTcpSocket* aSocket);
+  /// Closes a connection at once, so that its caller tries another instance.
+  void Refuse(QTcpSocket* aSocket);
+
   RelayRouter& mRouter;
   CallerProtocolFactory mProtocol;
   QTcpServer mServer;
   std::set<CallerConnection*> mConnections;
+  uint64_t mRefusedCount = 0;
+  Instant mNextRefusalLogAt;
 };
 
 }
--- a/Services/Papayalined/Relay/RelayService.cpp
+++ b/Services/Papayalined/Relay/RelayService.cpp
@@ -314,6 +314,7 @@
               QByteArray::number(quint64(aValue)) + "\n";
     };
   add("caller_connections", {}, mCallerListener.ConnectionCount());
+  add("callers_refused_total", {}, mCallerListener.RefusedCount());
   mRouter.ForEachGroup([&](const RelayGroup& aGroup) {
     const auto label =
       "{group=\"" + QByteArray::fromStdString(aGroup.Name()) + "\"}";
--- a/Tests/Relay/TestRelayProcess.cpp
+++ b/Tests/Relay/TestRelayProcess.cpp
@@ -11,6 +11,7 @@
 #include <QTemporaryDir>
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
+#include <sys/resource.h>
 
 using namespace papayaline;
 
@@ -33,6 +34,7 @@
   CPPUNIT_TEST(MetricsHoldCountsAndLatencies);
   CPPUNIT_TEST(KeysDecideWhoIsServedAndAreWrittenNowhere);
   CPPUNIT_TEST(StoreSilentAuthorityExpiresAndIsBackWithTheStore);
+  CPPUNIT_TEST(DescriptorsUsedUpByCallersInstanceGoesOn);
   CPPUNIT_TEST(TerminatedFinishesTheTransactionAndExits);
   CPPUNIT_TEST(TerminatedUnderLoadAllStatementsAreAnswered);
   CPPUNIT_TEST_SUITE_END();
@@ -461,6 +463,41 @@
     CPPUNIT_ASSERT(session.Query("READ 1").contains("ROW x"));
   }
 
+  /// Guards against an instance that aborts: callers that come from lost
+  /// instances use up its descriptors, and the next call to the store that ends
+  /// without an answer needs some.
+  void DescriptorsUsedUpByCallersInstanceGoesOn()
+  {
+    constexpr rlim_t kDescriptors = 96;
+    constexpr int kCallers = 150;
+    constexpr int kStoreOutageMs = 4000;
+    const rlimit limit{ kDescriptors, kDescriptors };
+    CPPUNIT_ASSERT_EQUAL(
+      0,
+      prlimit(
+        static_cast<pid_t>(mInstance->Pid()), RLIMIT_NOFILE, &limit, nullptr));
+    Session first(mCallerPort, "bookings");
+    std::vector<std::unique_ptr<QTcpSocket>> crowd;
+    for (int n = 0; n < kCallers; ++n) {
+      crowd.push_back(std::make_unique<QTcpSocket>());
+      crowd.back()->connectToHost(QHostAddress::LocalHost, mCallerPort);
+      crowd.back()->waitForConnected(kTimeoutMs);
+      crowd.back()->write("STARTUP bookings till-1\r\n");
+    }
+    mStore->SetUnresponsive(true);
+    QElapsedTimer outage;
+    outage.start();
+    Await([&] { return outage.elapsed() > kStoreOutageMs; });
+    mStore->SetUnresponsive(false);
+    CPPUNIT_ASSERT(mInstance->IsRunning());
+    CPPUNIT_ASSERT(first.Query("READ 1").contains("COMPLETE signed"));
+    crowd.clear();
+    Configure({ "bookings", "scores" });
+    CPPUNIT_ASSERT(Await([this] {
+      return Session(mCallerPort, "scores").mWelcome.startsWith("READY");
+    }));
+  }
+
   void TerminatedFinishesTheTransactionAndExits()
   {
     Session session(mCallerPort, "bookings");
