--- a/Libraries/LibDecision/RuleSet.h
+++ b/Libraries/LibDecision/RuleSet.h
@@ -33,8 +33,6 @@
   FencedEntriesInLog,
   /// Count majorities of former voting lists too.
   FormerLists,
-  /// Learn of a term from the position of a session's last write.
-  TermOfLastWrite,
   Count,
 };
 
--- a/Libraries/LibRelay/RelayGroupEvidence.cpp
+++ b/Libraries/LibRelay/RelayGroupEvidence.cpp
@@ -10,8 +10,7 @@
 {
   const auto written = aRequest.mSession->LastWriteIn(mConfiguration.mName);
   const auto before = mView.Primary();
-  if (!written || written->mTerm <= mView.HighestTerm() ||
-      !mEnvironment.mRules.Has(RelayRule::TermOfLastWrite)) {
+  if (!written || written->mTerm <= mView.HighestTerm()) {
     return;
   }
   mView.ObserveTerm(written->mTerm);
