Soak: Leave a terminated instance its grace period

The trace: SIGTERM at 495.317 s, grace period 6 s; the faults ended 3.291 s later, and Heal() brought the end of the termination forward, which replaced and killed the process at 498.612 s. The instance logged "drain" and no "stop". It was still allowed to answer for 2.7 s, so the check was right and the schedule wrong.

--- a/Tests/Soak/FaultSchedule.cpp
+++ b/Tests/Soak/FaultSchedule.cpp
@@ -173,13 +173,15 @@
 FaultSchedule::TerminateInstance()
 {
   const auto n = Pick(mDeployment.InstanceCount());
-  if (std::ranges::find(mIsDown, true) != mIsDown.end()) {
+  if (!AreInstancesUp()) {
     return;
   }
   mIsDown[n] = true;
   RecordFault("terminate instance " + std::to_string(n), 0);
   mDeployment.Process(n).Terminate();
-  ScheduleEnd(kGraceMs, [this, n] {
+  // Heal() does not shorten the grace period: the instance may still answer
+  // what it has accepted.
+  QTimer::singleShot(kGraceMs, this, [this, n] {
     mDeployment.Start(n);
     mIsDown[n] = false;
   });
--- a/Tests/Soak/FaultSchedule.h
+++ b/Tests/Soak/FaultSchedule.h
@@ -3,6 +3,7 @@
 #include "SoakDeployment.h"
 
 #include <QTimer>
+#include <algorithm>
 #include <random>
 
 namespace papayaline {
@@ -26,6 +27,12 @@
   void Start();
   /// Ends all active faults and injects no further ones.
   void Heal();
+  /// Whether no instance is down. After Heal(), an instance that was terminated
+  /// is still given its grace period, and started again after it.
+  bool AreInstancesUp() const
+  {
+    return std::ranges::find(mIsDown, true) == mIsDown.end();
+  }
 
   /// One line for each injected fault, with its time in milliseconds since the
   /// epoch.
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -119,6 +119,9 @@
   faults.Start();
   Await(aOptions.mSeconds * 1000, [] { return false; });
   faults.Heal();
+  if (!Await(kRecoveryMs, [&] { return faults.AreInstancesUp(); })) {
+    history.mViolations.push_back("an instance was not started again");
+  }
   const auto healedAt = callers.front()->NowMs();
   const bool isRecovered = Await(kRecoveryMs, [&] {
     return std::ranges::all_of(
